Check what a RESP frame claims before it is parsed, on both sides

A server's broken answer '*N' with a huge N made the parser allot a list of N; freeing it stopped the loop for seconds. The listener's guard missed headers that were split, pipelined or nested.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -13,6 +13,7 @@
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.resp import FrameGuard
 from mulleinhall.wire import LOADS
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
 LONGEST_ANSWER = 256 * 1024  # bytes; a value holds at most 64 KiB
+MOST_ELEMENTS = 64  # of an answer: a whole one has three, and the figures on use may hold some
 SWEEP = 1.0  # s between looks for idle connections
 NOTHING = object()  # the reader has no whole answer yet
 
@@ -63,7 +65,7 @@
     def __init__(self, pool: Backends, target: Target, address: tuple[str, int],
                  sock: socket.socket) -> None:
         self.pool, self.target, self.address, self.sock = pool, target, address, sock
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_ELEMENTS)
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.unread, self.idle_since, self.open = 0, 0.0, True
@@ -78,6 +80,8 @@
             return
         self.unread += len(data)
         try:
+            if self.guard.check(data) < len(data):
+                raise hiredis.ProtocolError("too many elements")
             self.reader.feed(data)
             answer = self.reader.gets()
         except hiredis.ProtocolError as error:
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -13,6 +13,7 @@
 
 from mulleinhall.interface import RequestClass, Semantics, Settings
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.resp import FrameGuard
 
 log = logging.getLogger(__name__)
 
@@ -146,7 +147,7 @@
 
     def __init__(self, server: Clients) -> None:
         self.server = server
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_WORDS)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
@@ -163,18 +164,15 @@
             return
         self.arrived = self.used = self.server.clock()
         self.unread += len(data)
-        if data[:1] == b"*" and not self.reader.has_data():
-            # Guards the loop against a frame that claims a billion words: the parser makes room for them all.
-            count = data[1:16].partition(b"\r")[0]
-            if count.isdigit() and int(count) > MOST_WORDS:
-                self._broken("too many words")
-                return
+        safe = self.guard.check(data)
         try:
-            self.reader.feed(data)
+            self.reader.feed(data[:safe])
         except (hiredis.HiredisError, MemoryError) as error:
             self._broken(str(error))
             return
         self._parse()
+        if safe < len(data) and not self.ending:
+            self._broken("too many words")
 
     def _parse(self) -> None:
         while self.transport is not None and not self.ending and not self.choked:
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -72,6 +72,29 @@
     run(body())
 
 
+@pytest.mark.parametrize("answer", [
+    b"*100000\r\n", b"~100000\r\n", b"*2\r\n*100000\r\n", b"*2\r\n$8\r\n*1\r\n*9\r\n\r\n>100000\r\n",
+])
+@pytest.mark.parametrize("cut", [0, 1, 6])
+def test_an_answer_that_claims_too_many_elements_fails_at_once(answer: bytes, cut: int) -> None:
+    """The parser would make room for all of them; the attempt would hang until it is overdue."""
+    async def body() -> None:
+        async def script(_: int, reader: Reader, writer: Writer) -> None:
+            await read_command(reader)
+            for piece in (answer[:cut], answer[cut:]):
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+            await reader.read()
+
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            assert await pool.end() == (Outcome.ERROR, None)
+
+    run(body())
+
+
 def test_the_time_is_rewritten_and_all_else_goes_on_unchanged() -> None:
     async def body() -> None:
         async with backend() as peer:
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -189,6 +189,28 @@
     run(body())
 
 
+@pytest.mark.parametrize("pieces", [
+    [b"*", b"100000\r\n"], [b"*10000", b"0\r\n"], [b"*100000\r", b"\n"], [b"*2\r\n*100000\r\n"],
+    [resp(b"PING", b"*1"), b"*100000\r\n"], [resp(b"PING", b"*1") + b"*2\r\n$1\r\nx\r\n%100000\r\n"],
+])
+def test_such_a_claim_is_found_wherever_it_stands(pieces: list[bytes]) -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            caller = await Caller.to(address)
+            await until(lambda: served.clients.connections)
+            [client] = served.clients.connections
+            await until(lambda: client.transport)
+            for piece in pieces:
+                client.data_received(piece)
+            if b"PING" in pieces[0]:
+                assert await caller.answer() == b"*1"
+            assert "too many words" in str(await caller.answer())
+            with pytest.raises(EOFError):
+                await caller.answer()
+
+    run(body())
+
+
 def test_a_client_that_hangs_up_is_told_to_the_module() -> None:
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
