End a counter connection that answers without a number

Answers are matched by order, so one stray line gave all later totals to the wrong customer; 'nan' and 'inf' were read as totals. The calls still out on it may have been added and are told as timed out.

--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -16,6 +17,7 @@
 CONNECT_TIMEOUT = 0.25  # s
 IDLE = 8.0  # s: the counter closes a connection that is idle for about 10
 SILENT = 6  # time-outs: a connection that owes an answer for this long is replaced
+TOTAL = re.compile(rb"-?[0-9]{1,30}(\.[0-9]{1,30})?([eE][-+]?[0-9]{1,2})?")  # a number that is finite
 MOST_WAITING = 2000  # calls that wait for an answer or a connection; more are turned away
 
 
@@ -49,7 +51,9 @@
                 log.warning("counter: an answer that nothing asked for")
                 self.drop()
                 return
-            self.owner.answered(self.calls.popleft(), line.strip())
+            if not self.owner.answered(self.calls.popleft(), line.rstrip(b"\r")):
+                self.drop()  # which call the next answer belongs to is not known any more
+                return
         if len(self.rest) > 4096:
             log.warning("counter: an endless line")
             self.drop()
@@ -147,15 +151,12 @@
         waiting = any(other is call for other in self.unsent)
         self.report(call, Outcome.CONNECT_FAILED if waiting else Outcome.TIMEOUT)
 
-    def answered(self, call: Call, line: bytes) -> None:
+    def answered(self, call: Call, line: bytes) -> bool:
+        """Whether the answer makes sense; one that does not tells that the amount may have been added."""
         kind, _, rest = line.partition(b" ")
-        try:
-            if kind == b"ok":
-                self.report(call, Outcome.OK, float(rest))
-                return
-        except ValueError:
-            kind = b"?"
-        if kind == b"busy":
+        if kind == b"ok" and TOTAL.fullmatch(rest):
+            self.report(call, Outcome.OK, float(rest))
+        elif line == b"busy":
             self.report(call, Outcome.FULL)
         elif kind == b"error":
             log.warning("counter: call turned down: %r", call.line)
@@ -163,6 +164,8 @@
         else:
             log.warning("counter: strange answer %r", line[:80])
             self.report(call, Outcome.TIMEOUT)
+            return False
+        return True
 
     def report(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         if call.reported:
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -45,6 +45,8 @@
 @pytest.mark.parametrize(("answer", "outcome", "total"), [
     (b"ok 41.5\r\n", Outcome.OK, 41.5), (b"ok -3\r\n", Outcome.OK, -3.0), (b"busy\r\n", Outcome.FULL, 0.0),
     (b"error\r\n", Outcome.FULL, 0.0), (b"what\r\n", Outcome.TIMEOUT, 0.0), (b"ok\r\n", Outcome.TIMEOUT, 0.0),
+    (b"ok 1.5e+06\r\n", Outcome.OK, 1.5e6), (b"ok nan\r\n", Outcome.TIMEOUT, 0.0),
+    (b"ok inf\r\n", Outcome.TIMEOUT, 0.0), (b"ok 1_0\r\n", Outcome.TIMEOUT, 0.0),
 ])
 def test_what_an_answer_means(answer: bytes, outcome: Outcome, total: float) -> None:
     async def body() -> None:
@@ -120,6 +122,31 @@
     run(body())
 
 
+@pytest.mark.parametrize("strange", [b"", b"ok", b"ok {}", b"ok 1x2", b"ok nan"])
+def test_a_connection_that_answered_without_a_number_is_done(strange: bytes) -> None:
+    """What follows on it could be taken for another call's total."""
+    async def body() -> None:
+        async def script(number: int, reader: Reader, writer: Writer) -> None:
+            if number == 0:
+                for _ in range(3):
+                    await reader.readline()
+                writer.write(strange + b"\r\nok 999\r\nok 998\r\n")
+            while await reader.readline():
+                if number:
+                    writer.write(b"ok 4\r\n")
+
+        async with Peer(script) as peer:
+            calls = Calls(peer.address)
+            for name in (1, 2, 3):
+                calls.add(name)
+            await calls.reply(3)
+            assert [(r.name, r.outcome) for r in calls.replies] == [(n, Outcome.TIMEOUT) for n in (1, 2, 3)]
+            calls.add(5)
+            assert await calls.reply(4) == (5, Outcome.OK, 4.0) and peer.connections == 2
+
+    run(body())
+
+
 def test_a_refused_connection_added_nothing() -> None:
     async def body() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
