Reload the addresses of discovery and counter on SIGHUP

SIGHUP had no handler and ended the ingress. The file is read off the loop; one that can't be used changes nothing.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -14,13 +15,39 @@
 from mulleinhall.net.config import BadConfig, Config, read_config
 from mulleinhall.net.ingress import Ingress
 
+log = logging.getLogger(__name__)
 
-async def serve(config: Config) -> None:
-    stop = asyncio.Event()
+
+def load(path: str) -> Config:
+    try:
+        return read_config(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(f"EDGE_CONFIG: {error}") from error
+
+
+async def follow(path: str, ingress: Ingress, reload: asyncio.Event) -> None:
+    """Reads the configuration anew each time that `reload` is set; one that can't be used changes nothing."""
+    while True:
+        await reload.wait()
+        reload.clear()
+        try:
+            ingress.move(await asyncio.to_thread(load, path))
+        except BadConfig as error:
+            log.error("reload: %s", error)
+
+
+async def serve(config: Config, path: str) -> None:
+    stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await Ingress(config).run(stop)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    ingress = Ingress(config)
+    following = loop.create_task(follow(path, ingress, reload))
+    await ingress.run(stop)
+    following.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await following
 
 
 def main() -> int:
@@ -29,13 +56,12 @@
     try:
         if not path:
             raise BadConfig("EDGE_CONFIG: not set")
-        config = read_config(Path(path).read_text(encoding="utf-8"))
-    except (BadConfig, OSError, UnicodeDecodeError) as error:
-        text = error if isinstance(error, BadConfig) else f"EDGE_CONFIG: {error}"
-        print(f"mulleinhall: {text}", file=sys.stderr)
+        config = load(path)
+    except BadConfig as error:
+        print(f"mulleinhall: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, path))
     except OSError as error:
         print(f"mulleinhall: listen: {error}", file=sys.stderr)
         return 1
--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -40,6 +40,7 @@
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered, in order
         self.rest = b""
+        self.retired = False  # the counter is elsewhere now: no more calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -57,6 +58,8 @@
         if len(self.rest) > 4096:
             log.warning("counter: an endless line")
             self.drop()
+        elif self.retired and not self.calls:
+            self.drop()
 
     def eof_received(self) -> None:
         self.drop()
@@ -64,6 +67,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.drop()
 
+    def retire(self, after: float) -> None:
+        """No more calls come: it ends when those that are out are answered, or after that time."""
+        self.retired = True
+        if self.calls:
+            self.owner.loop.call_later(after, self.drop)
+        else:
+            self.drop()
+
     def drop(self) -> None:
         """Ends the connection.  What was written on it may have been added."""
         if self.transport is not None:
@@ -87,6 +98,15 @@
         self.used = 0.0  # when the connection was last written to
         self.idle_timer: asyncio.TimerHandle | None = None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on calls go to `address`.  Those on the old connection may still be answered there."""
+        if address == self.address:
+            return
+        self.address = address
+        if self.link is not None:
+            link, self.link = self.link, None
+            link.retire(self.timeout)
+
     def call(self, name: int, add: float, lifetime: float) -> None:
         line = b"add %d %s %d\r\n" % (name, _decimal(add), min(max(1, round(lifetime * 1000)), 60_000))
         call = Call(name, line, self.clock())
@@ -113,12 +133,18 @@
         self.used = call.made
 
     async def _connect(self) -> None:
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, link = await self.loop.create_connection(lambda: Link(self), *self.address)
-        except (OSError, TimeoutError) as error:
-            log.debug("counter: %s", error)
-            link = None
+        link: Link | None = None
+        address = None
+        while link is None and address != self.address:  # once more if it moved meanwhile
+            address = self.address
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT):
+                    _, link = await self.loop.create_connection(lambda: Link(self), *address)
+            except (OSError, TimeoutError) as error:
+                log.debug("counter: %s", error)
+            if link is not None and address != self.address:
+                link.drop()
+                link = None
         self.connecting = None
         unsent, self.unsent = self.unsent, deque()
         if link is not None and link.transport is not None:
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -67,27 +67,45 @@
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
     def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None]) -> None:
-        self.url = f"http://{address[0]}:{address[1]}/api/targets"
         self.told = told
+        self.asking: asyncio.Task[None] | None = None  # the call or the pause that is on
+        self.move(address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the agent is sought at `address`, at once and for the whole list."""
+        self.url = f"http://{address[0]}:{address[1]}/api/targets"
         self.version: int | None = None  # of the list that the agent gave; None: ask for all of it
+        if self.asking is not None:
+            self.asking.cancel()
 
     async def run(self) -> None:
-        failures = 0
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=60.0)
         async with aiohttp.ClientSession(connector=connector) as session:
-            while True:
-                try:
-                    await self._ask(session)
-                    failures = 0
-                except Exception as error:
-                    # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
-                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
-                    # the whole list.
-                    if failures in (0, 10, 100, 1000):
-                        log.warning("discovery: %s: %s", type(error).__name__, error)
-                    self.version = None
-                    await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
-                    failures += 1
+            try:
+                while True:
+                    self.asking = asyncio.create_task(self._follow(session))
+                    await asyncio.wait({self.asking})  # until a move cancels it
+            finally:
+                if self.asking is not None:
+                    self.asking.cancel()
+                    await asyncio.wait({self.asking})
+
+    async def _follow(self, session: aiohttp.ClientSession) -> None:
+        """Asks one agent again and again, until it is cancelled."""
+        failures = 0
+        while True:
+            try:
+                await self._ask(session)
+                failures = 0
+            except Exception as error:
+                # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
+                # what is done with a list: the last one is kept, tries are spaced, and the next asks for
+                # the whole list.
+                if failures in (0, 10, 100, 1000):
+                    log.warning("discovery: %s: %s", type(error).__name__, error)
+                self.version = None
+                await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
+                failures += 1
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
         query, limit = "", ASK_TIMEOUT
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -79,6 +79,13 @@
         if self.counter is not None:
             self.counter.close()
 
+    def move(self, config: Config) -> None:
+        """A reload: discovery and the counter are sought where the new configuration has them."""
+        log.info("%s reloads: discovery %s:%d", self.config.name, *config.discovery)
+        self.discovery.move(config.discovery)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(config.counter)
+
     async def _drain(self) -> None:
         """A planned restart: what is held is answered, before the earliest SIGKILL whatever happens."""
         longest = min(max(c.deadline for c in self.settings.classes), MOST_DEADLINE)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 import pytest
@@ -147,6 +148,45 @@
     run(body())
 
 
+def test_calls_go_to_a_counter_that_has_moved_and_those_out_are_still_answered() -> None:
+    async def body() -> None:
+        go = asyncio.Event()
+
+        async def script(_: int, reader: Reader, writer: Writer) -> None:
+            await reader.readline()
+            await go.wait()
+            writer.write(b"ok 1\r\n")
+            assert not await reader.readline()  # the old connection ends without another call
+
+        async with Peer(script) as old, scripted(b"ok 2\r\n", b"ok 3\r\n") as new:
+            calls = Calls(old.address)
+            calls.add(1)
+            await until(lambda: calls.counter.link is not None)
+            calls.counter.move(new.address)
+            calls.add(2)
+            assert await calls.reply() == (2, Outcome.OK, 2.0)
+            go.set()
+            assert await calls.reply(2) == (1, Outcome.OK, 1.0)
+            await until(lambda: old.ended)
+            calls.add(3)
+            assert await calls.reply(3) == (3, Outcome.OK, 3.0)
+            assert (old.connections, new.connections) == (1, 1)
+
+    run(body())
+
+
+def test_a_counter_that_moves_while_its_connection_comes_up_is_sought_there() -> None:
+    async def body() -> None:
+        async with scripted(b"ok 1\r\n") as old, scripted(b"ok 2\r\n") as new:
+            calls = Calls(old.address)
+            calls.add(1)
+            calls.counter.move(new.address)
+            assert await calls.reply() == (1, Outcome.OK, 2.0)
+            assert not old.commands
+
+    run(body())
+
+
 def test_a_refused_connection_added_nothing() -> None:
     async def body() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -71,6 +71,26 @@
     run(body())
 
 
+def test_an_agent_that_moves_is_asked_at_once_at_its_new_address_for_the_whole_list() -> None:
+    async def body() -> None:
+        told: list[tuple[ListKind, Listing]] = []
+        old, new = Agent(listing(41, True, entry(HERE))), Agent(listing(7, True, entry(HERE, "s2")))
+        async with old.peer, new.peer:
+            discovery = Discovery(old.peer.address, lambda kind, found: told.append((kind, found)))
+            task = asyncio.create_task(discovery.run())
+            await until(lambda: len(old.asked) == 2)  # the watch is on, and silent
+            discovery.move(new.peer.address)
+            await until(lambda: len(new.asked) == 2)
+            assert new.asked == ["/api/targets", WATCH % 7] and len(old.asked) == 2
+            assert [(kind, found.version) for kind, found in told] == [
+                (ListKind.REPLACE, 41), (ListKind.REPLACE, 7)]
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert discovery.asking is not None and discovery.asking.cancelled()
+
+    run(body())
+
+
 def test_versions_that_start_anew_bring_the_whole_list() -> None:
     async def body() -> None:
         agent = Agent(listing(41, True, entry(HERE)), listing(3, False, entry(HERE, "s9")),
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -99,6 +99,34 @@
     run(body())
 
 
+def test_a_reload_seeks_discovery_at_its_new_address_and_survives_a_bad_file(tmp_path: Path) -> None:
+    async def body() -> None:
+        asked: list[bytes] = []
+
+        async def agent(_: int, reader: Reader, writer: Writer) -> None:
+            asked.append(await reader.readline())
+            await reader.read()
+
+        async with backend() as peer, Peer(agent) as moved, program(peer, tmp_path) as (process, address):
+            path = tmp_path / "config.json"
+            good = path.read_text(encoding="utf-8")
+            path.write_text("{", encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            caller = await Caller.to(address)
+            assert await caller.ask(command()) == b"00000000000000aa"
+            host, port = moved.address
+            path.write_text(good.replace("127.0.0.1:1\"", f"{host}:{port}\""), encoding="utf-8")
+            while not asked:
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.05)
+            assert asked[0].startswith(b"GET /api/targets HTTP")
+            assert await caller.ask(command("00000000000000ab")) == b"00000000000000ab"
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(body())
+
+
 def test_what_is_still_open_is_answered_before_sigkill(tmp_path: Path) -> None:
     async def body() -> None:
         async with backend(b"") as peer, program(peer, tmp_path) as (process, address):
