Send a second attempt beside one that is not answered within half the aim

A second attempt keeps to the bounds of retries, and needs ample room unless second attempts mostly answer first.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -38,7 +38,10 @@
 FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
 MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
 CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
-TICK, DISCOVERY = 0, 1  # timer tokens
+COPY = 0.5  # of the aim: an attempt out this long gets a second beside it, with time left for an answer
+AMPLE = -0.4  # pressure under which there is room for a second attempt that may not be needed
+WORTHY = 0.75  # of the second attempts were first to answer: then they need no more room than others
+TICK, DISCOVERY, COPIES = 0, 1, 2  # timer tokens
 
 
 class Bucket:
@@ -181,7 +184,7 @@
 
     def may_send(self, server: Server, now: float, settings: api.Settings) -> bool:
         """Danger: an effect that happens twice.  One place decides whether one more attempt may go."""
-        if len(self.tries) >= settings.max_attempts or (self.out and not settings.second_copies):
+        if len(self.tries) >= settings.max_attempts or len(self.out) > settings.second_copies:
             return False
         if self.cls.semantics is api.Semantics.SAFE or not self.maybe:
             return True
@@ -446,6 +449,9 @@
         self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
         self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
+        self.watched: deque[tuple[float, Job]] = deque()  # when each is due a second attempt, in order
+        self.watching = False
+        self.copy_odds = 0.5  # share of the second attempts that answered before the first
         self.actions: list[api.Action] = []
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -479,6 +485,8 @@
                 elif token == DISCOVERY:
                     self.asking = False
                     self.actions.append(api.Subscribe())
+                elif token == COPIES:
+                    self._copy(now)
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
@@ -574,6 +582,11 @@
                 self.untold[job.customer.key] = job.customer
                 job.customer.take(now, job.units, job.counted)
                 job.counted = False
+            if self.settings.second_copies and not job.late:
+                self.watched.append((now + COPY * self.fleet.patience, job))
+                if not self.watching:
+                    self.watching = True
+                    self.actions.append(api.SetTimer(COPY * self.fleet.patience, COPIES))
         number = len(job.tries)
         job.tries.append((server, now))
         job.out[number] = server
@@ -623,6 +636,10 @@
             server.failures, server.unreachable = 0, False
             server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
             self.fleet.note_done(now, job.cls, event.latency)
+            if job.out and not job.over:
+                self.copy_odds += SMOOTH * ((event.attempt > min(job.out)) - self.copy_odds)
+            if self.settings.cancel:
+                self.actions += [api.Cancel(job.id, number) for number in job.out]
             if event.settled and job.inside:
                 customer.settle(event.settled - job.units)
                 self.untold[customer.key] = customer
@@ -638,12 +655,29 @@
 
     def _again(self, now: float, job: Job) -> None:
         """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room."""
-        useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
-        if useful and self.fleet.pressure(now) < 0 and self._send(now, job):
+        if self._room_again(now, job) and self._send(now, job):
             self.retries.take(1.0)
         else:
             self._finish(now, job)
 
+    def _room_again(self, now: float, job: Job, most: float = 0.0) -> bool:
+        useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
+        return useful and self.fleet.pressure(now) < most
+
+    def _copy(self, now: float) -> None:
+        """Danger: a backend that takes a request and never answers holds it to its deadline.  A second
+        attempt goes beside the first, which may yet answer; under the same bounds as one after a failure."""
+        most = 0.0 if self.copy_odds > WORTHY else AMPLE
+        while self.watched and (self.watched[0][0] <= now + self.settings.tick or not self.watched[0][1].out):
+            job = self.watched.popleft()[1]
+            if not job.over and len(job.out) == 1 and job.deadline < float("inf"):  # else a stream: it began
+                full = job.plan.open_limit and job.customer.open >= job.customer.open_limit
+                if not full and self._room_again(now, job, most) and self._send(now, job):
+                    self.retries.take(1.0)
+        self.watching = bool(self.watched)
+        if self.watching:
+            self.actions.append(api.SetTimer(self.watched[0][0] - now, COPIES))
+
     # What is known of others
 
     def _ask(self, now: float, customer: Customer, job: Job | None = None) -> bool:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -40,7 +40,7 @@
         self.key, self.slot, self.command, self.deadline = key, slot, command, deadline
         self.tries, self.answered = 0, False
         self.size = BASE_COST + sum(map(len, command.words))
-        self.out: Attempt | None = None
+        self.out: set[Attempt] = set()
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -162,8 +162,7 @@
         request = self.open.get(attempt.request)
         self.attempts.pop((attempt.request, attempt.number), None)
         if request is not None:
-            if request.out is attempt:
-                request.out = None
+            request.out.discard(attempt)
             if value is not None and not request.answered:
                 self._answer(request, bulk(value))
         self.feed(api.AttemptEnded(
@@ -252,11 +251,13 @@
             self.feed(api.AttemptEnded(action.id, number, action.backend, api.Outcome.MOOT,
                                        finished=request is None or request.answered))
             return
-        if request.out is not None:
-            self.backends.cancel(request.out)  # never two out at once
+        if len(request.out) > self.settings.second_copies:
+            for earlier in list(request.out):
+                self.backends.cancel(earlier)  # never more out at once than the settings allow
         last = request.deadline - LAST_MARGIN
-        attempt = request.out = Attempt(
+        attempt = Attempt(
             request.key, number, action.backend, now,
             min(last, now + action.timeout) if action.timeout else last, request.command.parts())
+        request.out.add(attempt)
         self.attempts[request.key, number] = attempt
         self.backends.start(attempt)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -4,10 +4,22 @@
 
 from dataclasses import replace
 
-from mulleinhall.interface import Backend, BackendsChanged, ListKind, Outcome, Request
-from mulleinhall.logic import BUSY, Gateway, Server
-
-from .conftest import BASIC, FLEET, SETTINGS, Play, sends
+import pytest
+
+from mulleinhall.interface import (
+    Backend,
+    BackendsChanged,
+    Cancel,
+    ListKind,
+    Outcome,
+    Request,
+    Send,
+    SetTimer,
+    Timer,
+)
+from mulleinhall.logic import AMPLE, BUSY, COPIES, COPY, Gateway, Server
+
+from .conftest import BASIC, FLEET, SAFE, SETTINGS, Play, sends
 
 WIDE = replace(SETTINGS, plans=(replace(BASIC, rate=1e6, burst=1e6),))
 
@@ -161,3 +173,51 @@
     sent = sends(play.ask(0.01))
     assert sent
     assert sent[0].backend not in {s.info.id for s in near}
+
+
+COPYING = replace(SETTINGS, second_copies=True, cancel=True)
+
+
+def silent(play: Play) -> Send:
+    """A request whose first attempt is never answered; what is sent at the time of a second attempt."""
+    first = sends(play.ask())[0]
+    again = sends(play.at(COPY * SAFE.aim, Timer(COPIES)))
+    assert len(again) == 1 and again[0].id == first.id and again[0].backend != first.backend
+    return again[0]
+
+
+def test_an_attempt_that_is_not_answered_gets_a_second_beside_it() -> None:
+    play = Play(COPYING)
+    play.gateway.retries.level = 5.0
+    again = silent(play)
+    done = play.end(again, attempt=1)
+    assert done == [Cancel(again.id, 0)] and play.gateway.retries.level < 5.0
+
+
+def test_no_second_attempt_is_made_for_what_is_answered_or_where_two_are_not_allowed() -> None:
+    play = Play(COPYING)
+    play.end(sends(play.ask())[0])
+    assert play.at(COPY * SAFE.aim, Timer(COPIES)) == [] and not play.gateway.watched
+    play = Play()
+    assert sends(play.ask())
+    assert COPIES not in [a.token for a in play.actions if isinstance(a, SetTimer)]
+
+
+@pytest.mark.parametrize(("odds", "count"), [(0.0, 0), (1.0, 1)])
+def test_second_attempts_that_do_not_win_need_ample_room(odds: float, count: int) -> None:
+    play = Play(COPYING)
+    play.gateway.retries.level, play.gateway.copy_odds = 5.0, odds
+    play.gateway.fleet.pressure = lambda now: AMPLE / 2  # type: ignore[method-assign]
+    assert sends(play.ask())
+    assert len(sends(play.at(COPY * SAFE.aim, Timer(COPIES)))) == count
+
+
+def test_which_attempt_answers_first_is_learned() -> None:
+    play = Play(COPYING)
+    play.gateway.retries.level = 5.0
+    play.end(silent(play), attempt=1)
+    assert play.gateway.copy_odds > 0.5
+    odds, first = play.gateway.copy_odds, sends(play.ask())[0]
+    play.at(COPY * SAFE.aim, Timer(COPIES))
+    play.end(first, attempt=0)
+    assert play.gateway.copy_odds < odds
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -18,6 +18,7 @@
 from mulleinhall.net.config import Config
 from mulleinhall.net.ingress import Ingress
 from tests.peers import (
+    SETTINGS,
     Caller,
     Peer,
     Reader,
@@ -322,6 +323,33 @@
     run(body())
 
 
+def test_two_attempts_are_out_at_once_where_the_settings_allow_it() -> None:
+    async def body() -> None:
+        allowed = {**SETTINGS, "limits": {**SETTINGS["limits"], "second-copies": True}}
+        async with backend(b"") as one, backend() as two, serving(config(
+                entry(one.address), entry(two.address, "s2"), settings=allowed)) as (served, address):
+            def plan(event: api.Event) -> list[api.Action]:
+                match event:
+                    case api.Request():
+                        return [*send(event), api.SetTimer(0.05, 1)]
+                    case api.Timer():
+                        return [api.Send("1", "s2")]
+                    case api.AttemptEnded(outcome=api.Outcome.OK):
+                        return [api.Cancel("1", 0)]
+                return []
+
+            stub = Stub(plan)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            assert await caller.ask(command("x")) == b"x"
+            await until(lambda: len(stub.of(api.AttemptEnded)) == 2)
+            assert [(e.attempt, e.outcome) for e in stub.of(api.AttemptEnded)] == [
+                (1, api.Outcome.OK), (0, api.Outcome.CANCELLED)]
+            assert not served.attempts and not served.open
+
+    run(body())
+
+
 def test_an_attempt_after_the_end_or_past_the_most_is_moot() -> None:
     async def body() -> None:
         async with backend(b"-ERR failed\r\n") as peer, serving(
