--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -215,7 +215,10 @@
 def test_which_attempt_answers_first_is_learned() -> None:
     play = Play(COPYING)
     play.gateway.retries.level = 5.0
-    play.end(silent(play), attempt=1)
+    first = sends(play.ask())[0]
+    again = sends(play.at(COPY * SAFE.aim, Timer(COPIES)))[0]
+    play.end(again, attempt=1)
+    play.end(first, Outcome.CANCELLED, finished=True)
     assert play.gateway.copy_odds > 0.5
     odds, first = play.gateway.copy_odds, sends(play.ask())[0]
     play.at(COPY * SAFE.aim, Timer(COPIES))
