Shun a server at the second broken connection in a row, not at the first

Servers that reset one attempt in ten as it is written still serve all others; each reset shunned one for half the aim, and the few left carried the load.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -36,6 +36,9 @@
 COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
 STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
 FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
+# Of these fewer do.  A dead backend refuses what comes after it broke its connections; one that breaks a
+# connection now and then serves all others, and to shun it at each would load the rest.
+FIRST_SIGN = {api.Outcome.CONNECT_FAILED: 1, api.Outcome.RESET: 2}
 MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
 CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
 COPY = 0.5  # of the aim: an attempt out this long gets a second beside it, with time left for an answer
@@ -241,17 +244,17 @@
         return now - next(iter(self.out.values())) if self.out else 0.0
 
     def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
-        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused and broken
-        connections at the first sign, errors and time-outs when they come in a row; each further
-        failure doubles the pause, and one attempt then tries it again."""
+        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused connections at
+        the first sign, broken ones at the second in a row, errors and time-outs when more come in a row;
+        each further failure doubles the pause, and one attempt then tries it again."""
         if outcome is api.Outcome.FULL:
             if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
                 self.cut(now, 0.0)
                 self.retry_at = max(self.retry_at, now + patience / 4)
             return
         self.failures += 1
-        self.unreachable = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
-        row = self.failures - (0 if self.unreachable else FAILURE_ROW - 1)
+        row = self.failures + 1 - FIRST_SIGN.get(outcome, FAILURE_ROW)
+        self.unreachable = outcome in FIRST_SIGN and row > 0
         if row > 0:
             self.retry_at = now + patience / 2 * 2.0 ** min(row - 1, 4)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -224,3 +224,14 @@
     play.at(COPY * SAFE.aim, Timer(COPIES))
     play.end(first, attempt=0)
     assert play.gateway.copy_odds < odds
+
+
+@pytest.mark.parametrize(("outcome", "enough"), [
+    (Outcome.CONNECT_FAILED, 1), (Outcome.RESET, 2), (Outcome.ERROR, 3), (Outcome.TIMEOUT, 3)])
+def test_a_backend_is_shunned_after_so_many_failures_in_a_row(outcome: Outcome, enough: int) -> None:
+    server = Server(FLEET[0], 100.0)
+    for _ in range(enough - 1):
+        server.failed(100.0, outcome, 1.0)
+        assert not server.ejected(100.0)
+    server.failed(100.0, outcome, 1.0)
+    assert server.ejected(100.0) and not server.ejected(100.6)
