--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -23,6 +23,9 @@
 MOST_WORDS = 64  # of a command
 MOST_CUSTOMERS = 2 ** 33
 LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
+MOST_BAD = 16  # malformed commands on a connection; one more ends it
+PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
+SWEEP = 0.4  # s between looks for peers that are silent or too slow
 BACKLOG = 512
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
@@ -152,6 +155,8 @@
         self.transport: asyncio.Transport | None = None
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
         self.full, self.choked, self.ending = False, False, False
+        self.bad = 0  # malformed commands so far
+        self.due_from: float | None = self.used  # since when a whole command is due; None: nothing is
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -164,7 +169,12 @@
             return
         self.arrived = self.used = self.server.clock()
         self.unread += len(data)
+        whole = self.guard.whole()
         safe = self.guard.check(data)
+        if not self.guard.inside():
+            self.due_from = None
+        elif self.due_from is None or self.guard.whole() > whole:
+            self.due_from = self.arrived
         try:
             self.reader.feed(data[:safe])
         except (hiredis.HiredisError, MemoryError) as error:
@@ -213,6 +223,9 @@
         except BadCommand as error:
             self.server.note(str(error))
             slot.answer(b"-ERR %b\r\n" % str(error).encode())
+            self.bad += 1
+            if self.bad > MOST_BAD:
+                self._broken("too many malformed commands")
         except Exception:
             # Guards the process, and the others on this connection, against a fault in one request.
             log.exception("a request failed")
@@ -240,6 +253,15 @@
             self.full = False
             self.server.loop.call_soon(self._parse)
 
+    def hurry(self, now: float) -> None:
+        """Guards against peers that hold a place and send no command, or never the end of one."""
+        if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
+            return
+        if self.guard.inside():
+            self._broken("no whole command in time")
+        else:
+            self.end()
+
     def _end_if_idle(self) -> None:
         if not self.slots:
             self.end()
@@ -296,8 +318,10 @@
         self.listener.setblocking(False)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
+        self.sweeper: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         self.listener.listen(BACKLOG)
         self.loop.add_reader(self.listener, self._accept)
 
@@ -339,6 +363,13 @@
             oldest.end()
         return oldest is not None
 
+    def _sweep(self) -> None:
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        now = self.clock()
+        for client in list(self.connections):
+            if client.transport is not None:
+                client.hurry(now)
+
     def _close_listener(self) -> None:
         if self.listener.fileno() >= 0:
             self.loop.remove_reader(self.listener)
@@ -366,6 +397,8 @@
                 client.end()
 
     def close(self) -> None:
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         self._close_listener()
         for client in list(self.connections):
             client.end()
--- a/mulleinhall/net/resp.py
+++ b/mulleinhall/net/resp.py
@@ -14,6 +14,15 @@
         self.skip = 0  # bytes of a bulk string that are still to come
         self.due, self.claimed = 0, 0  # elements of the frame at hand: still to come, claimed in all
         self.rest = b""  # of a line that has not ended
+        self.begun = 0  # frames so far
+
+    def inside(self) -> bool:
+        """Whether a frame has begun and not ended."""
+        return self.due > 0 or self.skip > 0 or bool(self.rest)
+
+    def whole(self) -> int:
+        """How many frames have ended."""
+        return self.begun - (self.due > 0 or self.skip > 0)
 
     def check(self, data: bytes) -> int:
         """Reads on; how many bytes of `data` may be parsed: all, or those before the line that claims too
@@ -39,6 +48,7 @@
         """Takes in one line; the number of bytes that belong to it and follow."""
         if self.due == 0:
             self.due, self.claimed = 1, 0
+            self.begun += 1
         self.due -= 1
         if kind not in b"$=*~>%|":
             return 0
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -212,6 +212,76 @@
     run(body())
 
 
+@pytest.mark.parametrize(("pieces", "held"), [
+    ([], True), ([b"*4"], True), ([b"*4\r\n"], True), ([command()[:-1]], True), ([command() + b"*"], True),
+    ([command(), command()[:20], command()[20:30]], True),
+    ([resp(b"PING")], False), ([command()], False), ([command()[:20], command()[20:]], False),
+])
+def test_a_peer_that_ends_no_command_is_let_go(pieces: list[bytes], held: bool) -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            caller = await Caller.to(address)
+            await until(lambda: [c for c in served.clients.connections if c.transport])
+            [client] = served.clients.connections
+            for piece in pieces:
+                client.data_received(piece)
+            await until(lambda: not client.slots)
+            client.hurry(client.server.clock() + clients.PATIENCE * 0.9)
+            assert not client.ending
+            client.hurry(client.server.clock() + clients.PATIENCE)
+            if held:
+                with pytest.raises(EOFError):
+                    while True:
+                        await caller.answer()
+            else:
+                assert client.transport is not None and not client.transport.is_closing()
+            assert client.ending == (held and bool(pieces))
+
+    run(body())
+
+
+def test_the_time_of_a_first_command_runs_from_the_start_of_the_connection() -> None:
+    async def body() -> None:
+        async with serving(config()) as (served, address):
+            await Caller.to(address)
+            await until(lambda: [c for c in served.clients.connections if c.transport])
+            [client] = served.clients.connections
+            start = client.due_from
+            client.data_received(b"*4\r\n")
+            assert client.due_from == start
+            client.data_received(command()[4:] + b"*")
+            assert client.due_from == client.arrived
+
+    run(body())
+
+
+def test_silent_peers_are_looked_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PATIENCE", 0.0)
+    monkeypatch.setattr(clients, "SWEEP", 0.01)
+
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            with pytest.raises(EOFError):
+                await caller.answer()
+
+    run(body())
+
+
+def test_a_peer_that_sends_nothing_but_nonsense_is_let_go() -> None:
+    async def body() -> None:
+        async with serving(config()) as (_, address):
+            caller = await Caller.to(address)
+            caller.writer.write(resp(b"NONSENSE") * 200)
+            answers = []
+            with pytest.raises(EOFError):
+                while True:
+                    answers.append(str(await caller.answer()))
+            assert len(answers) == clients.MOST_BAD + 2 and "too many" in answers[-1]
+
+    run(body())
+
+
 def test_a_client_that_hangs_up_is_told_to_the_module() -> None:
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
