Replace a counter connection after two time-outs without a word

It was kept for six, by the age of the oldest call that it owed. What counts now is when it last spoke, so that a crowded counter that answers late keeps its connection; and a call's time-out looks, not only the next call.

--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -16,7 +16,7 @@
 
 CONNECT_TIMEOUT = 0.25  # s
 IDLE = 8.0  # s: the counter closes a connection that is idle for about 10
-SILENT = 6  # time-outs: a connection that owes an answer for this long is replaced
+SILENT = 2  # time-outs: a connection that owes an answer and says nothing for this long is replaced
 TOTAL = re.compile(rb"-?[0-9]{1,30}(\.[0-9]{1,30})?([eE][-+]?[0-9]{1,2})?")  # a number that is finite
 MOST_WAITING = 2000  # calls that wait for an answer or a connection; more are turned away
 
@@ -40,12 +40,19 @@
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered, in order
         self.rest = b""
+        self.heard = 0.0  # when it last answered
         self.retired = False  # the counter is elsewhere now: no more calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
 
+    def silent(self, now: float) -> bool:
+        """Whether it owes an answer and has said nothing for long.  One that is crowded answers, if late."""
+        since = max(self.heard, self.calls[0].made) if self.calls else now
+        return now - since > SILENT * self.owner.timeout
+
     def data_received(self, data: bytes) -> None:
+        self.heard = self.owner.clock()
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not self.calls:
@@ -115,10 +122,7 @@
             self.loop.call_soon(self.report, call, Outcome.FULL)
             return
         call.timer = self.loop.call_later(self.timeout, self._late, call)
-        # Guards against a connection that is open and silent: its calls would all time out for ever.
-        if self.link and self.link.calls and call.made - self.link.calls[0].made > SILENT * self.timeout:
-            log.warning("counter: silent connection replaced")
-            self.link.drop()
+        self._replace_silent()
         if self.link is not None:
             self._write(self.link, call)
             return
@@ -126,6 +130,12 @@
         if self.connecting is None:
             self.connecting = self.loop.create_task(self._connect())
 
+    def _replace_silent(self) -> None:
+        """Guards against a connection that is open and silent: its calls would all time out for ever."""
+        if self.link is not None and self.link.silent(self.clock()):
+            log.warning("counter: silent connection replaced")
+            self.link.drop()
+
     def _write(self, link: Link, call: Call) -> None:
         assert link.transport is not None
         link.calls.append(call)
@@ -176,6 +186,7 @@
         call.timer = None
         waiting = any(other is call for other in self.unsent)
         self.report(call, Outcome.CONNECT_FAILED if waiting else Outcome.TIMEOUT)
+        self._replace_silent()
 
     def answered(self, call: Call, line: bytes) -> bool:
         """Whether the answer makes sense; one that does not tells that the amount may have been added."""
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -257,6 +257,38 @@
     run(body())
 
 
+def test_a_connection_is_silent_by_what_was_last_heard_not_by_its_oldest_call() -> None:
+    async def body() -> None:
+        async with scripted() as peer:
+            calls = Calls(peer.address, timeout=1.0)
+            for name in (1, 2):
+                calls.add(name)
+            await until(lambda: calls.counter.link and len(calls.counter.link.calls) == 2)
+            link = calls.counter.link
+            assert link is not None
+            start = link.calls[0].made
+            assert not link.silent(start + module.SILENT) and link.silent(start + module.SILENT + 0.01)
+            link.data_received(b"ok 1\r\n")  # late, but it speaks
+            link.calls[0].made = start - 100.0
+            assert not link.silent(link.heard + module.SILENT)
+            assert link.silent(link.heard + module.SILENT + 0.01)
+
+    run(body())
+
+
+def test_a_silent_connection_is_found_by_the_time_out_of_a_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SILENT", 0)
+
+    async def body() -> None:
+        async with scripted() as peer:
+            calls = Calls(peer.address, timeout=0.02)
+            calls.add()
+            assert await calls.reply() == (7, Outcome.TIMEOUT, 0.0)
+            await until(lambda: calls.counter.link is None)
+
+    run(body())
+
+
 def test_an_idle_connection_is_closed_from_here(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "IDLE", 0.05)
 
