--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -448,6 +448,7 @@
         self.counting = settings.counter and not (settings.peers and self.period <= PEER_PERIOD)
         self.period = PEER_PERIOD if self.counting else self.period
         self.answered_at = -1e18  # when the counter last answered
+        self.less_at = -1e18  # when a failed question last made it ask less
         self.ask_share = 0.5  # of the questions that go to the counter
         self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
@@ -716,7 +717,8 @@
         if event.outcome is not api.Outcome.OK:
             # Danger: hundreds of gateways that ask more than a counter can take get no answer at all, and
             # each question holds a request.  Each asks less when it fails and more when it is quick.
-            self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS))
+            if now - self.less_at >= self.settings.counter_timeout:  # a connection's end fails many at once
+                self.ask_share, self.less_at = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS)), now
             if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
                 customer.unreported -= added
                 customer.mine += added
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -17,7 +17,7 @@
     TellPeers,
     Timer,
 )
-from mulleinhall.logic import LEAST_ASKED, Elsewhere
+from mulleinhall.logic import ASK_LESS, LEAST_ASKED, Elsewhere
 
 from .conftest import BASIC, SETTINGS, Play, sends
 
@@ -121,6 +121,20 @@
     assert calls > 100
 
 
+def test_questions_that_fail_together_count_as_one_failure() -> None:
+    play = Play(COUNTING)
+    play.gateway.ask_share = 1.0
+    for n in range(6):
+        for _ in range(4):
+            play.ask(customer=f"c{n}")
+    assert len(play.gateway.asked) > 3
+    assert reply(play, Outcome.TIMEOUT) > 3
+    assert play.gateway.ask_share == pytest.approx(1 - ASK_LESS)
+    play.gateway.asked[-1] = play.gateway.customers["c0"], 1.0
+    play.at(2 * COUNTING.counter_timeout, CounterReply(-1, Outcome.TIMEOUT))
+    assert play.gateway.ask_share == pytest.approx((1 - ASK_LESS) ** 2)
+
+
 def test_a_counter_that_fails_leaves_the_plain_slice() -> None:
     play = Play(COUNTING)
     play.gateway.born = 0.0  # an old process: its slice starts full
