Say with each refusal when to come back

Where the settings carry retry-after as false the module gave a bare -BUSY; the protocol has -BUSY MS in any case, and the design wants the time in which the units come back.

--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -138,7 +138,6 @@
     meter_period: float = 0.0
     settles: bool = False
     most_units: float = 1.0
-    retry_after: bool = True
 
     def __post_init__(self) -> None:
         if not self.classes:
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -611,7 +611,7 @@
         self.jobs.pop(job.id, None)
         if job.may_refuse():
             # The whole store refills in this time, and the client may come back through another gateway.
-            wait = job.units / job.plan.rate if job.plan.rate and self.settings.retry_after else 0.0
+            wait = job.units / job.plan.rate if job.plan.rate else 0.0
             self.actions.append(api.Refuse(job.id, wait))
         else:
             self.actions.append(api.Fail(job.id))
--- a/mulleinhall/wire.py
+++ b/mulleinhall/wire.py
@@ -41,4 +41,4 @@
         peers=limits.get("peers", False), peer_rate=info.get("mail-per-s", 0.0),
         counter=info.get("counter", False), counter_timeout=info.get("count-wait-s", 0.0),
         meter_period=info.get("meter-s", 0.0), settles=info.get("cost-after", False),
-        most_units=info.get("most-units", 1), retry_after=limits.get("retry-after", True))
+        most_units=info.get("most-units", 1))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -67,6 +67,12 @@
     return [json.loads(line) for line in out.getvalue().splitlines()]
 
 
+def test_a_refusal_says_when_to_come_back_whatever_the_site_does_with_it() -> None:
+    env = ENV | {"limits": {"max-attempts": 3, "retry-after": False}}
+    declined = [m for m in play(day(env)) if m["m"] == "Decline"]
+    assert declined and all(m["retry-after-s"] == 0.5 for m in declined)  # one unit at rate 2
+
+
 def test_the_adapter_answers_each_batch_and_skips_unknown_keys() -> None:
     lines = play(day())
     assert [m["m"] for m in lines].count("Finished") == 2
