Take the counter and peers out of admission: the slices alone decide

A request waited up to 80 ms for a total, and gateways lent the same room at once. With it go the mends of how totals and failures were read: their code is gone.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -15,14 +15,6 @@
 
 import mulleinhall.interface as api
 
-EPOCH = 30.0  # s: a counter name serves this long; half of the longest life a name may have
-LOW = 0.5  # of the slice: below this a gateway tells others of its use
-FRESH = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
-PEER_PERIOD = 0.25  # s between two messages to peers; short beside any burst, long beside any request
-EXACT = 0.1  # bursts that a count may pass its ends by before it is put right; more where it is crowded
-ASK_LESS = 0.3  # of the questions: fewer after one that failed; a quick answer brings an eighth of it back
-LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
-QUICK = 0.25  # of the time-out: a counter that answers sooner can take more
 IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
 SMOOTH = 0.15  # weight of a new sample in a running mean: about the last dozen count
 BUSY = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
@@ -63,74 +55,21 @@
         self.level -= units
 
 
-class Elsewhere:
-    """What is known of one customer's store when the use of the other gateways is counted in.
-
-    Danger: a customer gathered on few gateways is refused while its other slices sit full.  Told use
-    (counter, peers) is taken off a copy of the whole store, which is believed only for a while.
-    """
-
-    def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
-        self.fill, self.cap, self.thin = plan.rate, plan.burst, thin
-        self.life = FRESH * plan.burst / plan.rate if plan.rate else 1.0
-        self.base, self.own = plan.burst, 0.0  # the level when last told, and what was used here since
-        self.rate = 0.0  # units/s the others use as told
-        self.at, self.told_at = now, -1e18
-
-    def fresh(self, now: float) -> bool:
-        return now - self.told_at <= self.life
-
-    def level(self, now: float) -> float:
-        """The level now, if the others go on as they did, less so the longer nothing is heard."""
-        gap = now - self.at
-        others = self.rate * (gap if self.thin else self.life * (1.0 - exp(-gap / self.life)))
-        return min(self.cap, self.base + self.fill * gap - others - self.own)
-
-    def take(self, now: float, units: float) -> None:
-        self.own += min(units, max(0.0, self.level(now)))
-
-    def told(self, now: float, used: float) -> None:
-        """The others used `used` units since the last word."""
-        gap = now - self.at
-        level = self.base + self.fill * gap - self.own
-        self.base = max(-self.cap, min(self.cap, level - used))
-        self.rate = max(0.0, self.rate * exp(-gap / self.life) + used / max(gap, self.life))
-        self.own, self.at, self.told_at = 0.0, now, now
-
-    def reset(self, now: float, level: float) -> None:
-        """The first word on this customer: its whole store is thought to hold `level`."""
-        self.base, self.own, self.at, self.told_at = min(self.cap, level), 0.0, now, now
-
-
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float, can_learn: bool,
-                 most: float) -> None:
-        self.key, spread, self.first = event.customer, event.spread, event.first
-        self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), now
+    def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float) -> None:
+        self.plan, self.spread, self.seen = plan, max(1, event.spread), now
         share, burst = plan.rate / self.spread, plan.burst / self.spread
-        # Danger: each restart hands out a full burst anew.  Where more can be learned, a young process
-        # starts the slice with what it has filled since.
-        start = min(burst, share * age) if can_learn else burst
-        # A slice under the largest request holds none: it is asked about first, and what cannot be asked
-        # is sent where that pays on the mean.
-        self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most
-        self.slice = Bucket(share, burst, start, now)
+        self.slice = Bucket(share, burst, burst, now)
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
-        self.elsewhere = Elsewhere(plan, now, self.thin)
-        self.unreported, self.used = 0.0, 0.0
-        self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
-        self.doubtful = 0.0  # units of calls that timed out since the last total: most likely added
-        self.asked_at = -1e18  # when the counter call that is out was made
-        self.held: list[Job] = []
 
     def resize(self, now: float, event: api.Request) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
         part = self.spread / max(1, event.spread)
-        self.spread, self.first = max(1, event.spread), event.first
+        self.spread = max(1, event.spread)
         for bucket in (self.slice, self.ceiling):
             bucket.fits(now, 0.0)
             bucket.rate, bucket.cap = bucket.rate * part, bucket.cap * part
@@ -139,30 +78,18 @@
 
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
-        return (now - self.seen > IDLE and not self.open and not self.held
+        return (now - self.seen > IDLE and not self.open
                 and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
 
-    def siblings(self, settings: api.Settings) -> list[int]:
-        """The numbers of the other gateways that this customer may use."""
-        numbers = ((self.first + n) % settings.gateways for n in range(self.spread))
-        return [n for n in numbers if n != settings.number]
-
     def slice_fits(self, now: float, units: float) -> bool:
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
-    def take(self, now: float, units: float, counted: bool) -> None:
-        """Units are spent; what a slice lends out from elsewhere leaves it empty, not in debt."""
-        self.elsewhere.take(now, units)
+    def take(self, units: float) -> None:
         self.slice.level = max(0.0, self.slice.level - units)
-        self.unreported += 0.0 if counted or self.thin else units
-        self.used += units
 
     def settle(self, units: float) -> None:
         """The answer told the true units: the difference is taken or given back."""
-        self.elsewhere.own += units
         self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
-        self.unreported += 0.0 if self.thin else units
-        self.used += units
 
 
 class Job:
@@ -174,7 +101,6 @@
         self.deadline = now + event.time_left
         self.inside = False  # its units were taken from the slice
         self.taken = False  # its first attempt was sent
-        self.counted = False  # its units are in the customer's unreported use already
         self.over = False
         self.late = False  # it cannot be answered within its aim any more
         self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
@@ -394,38 +320,6 @@
         return best
 
 
-class Peers:
-    """What the peers' messages tell: for each of them its life and its running totals."""
-
-    def __init__(self) -> None:
-        self.heard: dict[int, float] = {}
-        self.life: dict[int, int] = {}
-        self.totals: dict[tuple[int, int], float] = {}
-
-    def read(self, event: api.PeerMessage, now: float, born: int) -> list[tuple[int, float]]:
-        """The use told by a message, as (customer's hash, units since the last word)."""
-        try:
-            life, *rows = event.text.split()
-            start = int(life)
-            entries = [(int(k, 16), int(v) / 10) for k, v in (row.split(":") for row in rows)]
-        except ValueError:
-            return []  # garbled: nothing is learned
-        if start < self.life.get(event.sender, start):
-            return []  # from an earlier life
-        if start > self.life.get(event.sender, start):
-            self.totals = {k: v for k, v in self.totals.items() if k[0] != event.sender}
-        self.life[event.sender], self.heard[event.sender] = start, now
-        news = []
-        for key, total in entries:
-            # Danger: to a fresh process a peer's whole past would look like use just now.  What a peer
-            # used before this process began is unknown; since then, all that it tells counts.
-            last = self.totals.get((event.sender, key), 0.0 if start >= born else total)
-            self.totals[event.sender, key] = max(last, total)
-            if total > last:
-                news.append((key, total - last))
-        return news
-
-
 class Gateway:
     """The decisions of one gateway.  `handle` takes an event and gives the actions."""
 
@@ -433,26 +327,14 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
-        self.fleet, self.peers = Fleet(settings, self.rng), Peers()
+        self.fleet = Fleet(settings, self.rng)
         self.customers: dict[str, Customer] = {}
-        self.by_hash: dict[int, Customer] = {}
-        self.asked: dict[int, tuple[Customer, float]] = {}
         self.jobs: dict[str, Job] = {}
         self.out: dict[tuple[str, int], tuple[Job, Server]] = {}
         self.born: float | None = None
-        self.life, self.asking, self.swept = 0, False, 0.0  # the last: when idle customers were dropped
+        self.asking = False
         self.retries = Bucket(0.0, 10.0, 1.0, 0.0)
-        # A receiver takes in only so many messages a second: half of that, for losses and bursts.
-        self.period = max(PEER_PERIOD, 2 * settings.gateways / max(1.0, settings.peer_rate))
-        # Word from all is worth more than a count, while they are few enough to tell it often.
-        self.counting = settings.counter and not (settings.peers and self.period <= PEER_PERIOD)
-        self.period = PEER_PERIOD if self.counting else self.period
-        self.answered_at = -1e18  # when the counter last answered
-        self.less_at = -1e18  # when a failed question last made it ask less
-        self.ask_share = 0.5  # of the questions that go to the counter
-        self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
-        self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
         self.watched: deque[tuple[float, Job]] = deque()  # when each is due a second attempt, in order
         self.watching = False
         self.copy_odds = 0.5  # share of the second attempts that answered before the first
@@ -461,9 +343,8 @@
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.actions = []
         if self.born is None:
-            self.born, self.life = now, int(now * 1000)  # told to peers: milliseconds
-            self.answered_at = now  # the counter is thought to be there, but crowded
-            self.actions.append(api.SetTimer(self.period * self.rng.random(), TICK))
+            self.born = now
+            self.actions.append(api.SetTimer(IDLE, TICK))
             if self.settings.ask_discovery:
                 self.actions.append(api.Subscribe())
         match event:
@@ -471,12 +352,6 @@
                 self._request(now, event)
             case api.AttemptEnded():
                 self._ended(now, event)
-            case api.CounterReply():
-                self._counted(now, event)
-            case api.PeerMessage():
-                for key, units in self.peers.read(event, now, self.life):
-                    if key in self.by_hash:
-                        self.by_hash[key].elsewhere.told(now, units)
             case api.BackendsChanged():
                 self.fleet.change(event, now)
                 # Danger: every failed call that brings two more would flood the list's service.
@@ -504,12 +379,11 @@
     def _request(self, now: float, event: api.Request) -> None:
         plan, cls = self.plans[event.plan], self.classes[event.request_class]
         customer = self.customers.get(event.customer)
-        if customer is not None and (customer.spread, customer.first) != (max(1, event.spread), event.first):
+        if customer is not None and customer.spread != max(1, event.spread):
             customer.resize(now, event)
         if customer is None or customer.plan is not plan:
             age = now - (self.born or 0.0)
-            customer = Customer(event, plan, now, age, self.counting, self.settings.most_units)
-            self.customers[event.customer] = self.by_hash[customer.hash] = customer
+            customer = self.customers[event.customer] = Customer(event, plan, now, age)
         customer.seen = now
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
@@ -521,48 +395,13 @@
         hopeless = job.late and not cls.late_worth
         if hopeless or (plan.ceiling_rate and not customer.ceiling.fits(now, job.units)):
             self._finish(now, job)
-        elif plan.rate and self._may_lend(now, job) and self._ask(now, customer, job):
-            customer.held.append(job)
         else:
             self._decide(now, job)
 
-    def _may_lend(self, now: float, job: Job) -> bool:
-        """Whether to ask the counter: the slice is low, as others may have been lent what it holds, and what
-        is known does not rule out that there is enough by now."""
-        known = job.customer.elsewhere
-        if job.customer.slice_fits(now, job.units + LOW * job.customer.slice.cap) or job.late:
-            return False
-        again = job.units / job.plan.rate if self.ask_share >= 1 else known.life  # s: later in a crowd
-        hope = now - known.told_at > again or known.level(now) >= job.units
-        return hope and job.deadline - now > 4 * self.settings.counter_timeout
-
-    def _pays(self, plan: api.Plan) -> bool:
-        """Whether a request of which nothing is known pays on the mean."""
-        return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
-
-    def _known(self, now: float, customer: Customer) -> bool:
-        """Whether there is fresh word of the customer's use: a told total, or word from each sibling."""
-        if self.counting:
-            return customer.elsewhere.fresh(now)
-        last = min((self.peers.heard.get(n, -1e18) for n in customer.siblings(self.settings)), default=now)
-        return now - last < 4 * self.period
-
     def _decide(self, now: float, job: Job) -> None:
         """Inside the quota as far as is known: send.  Beyond it: refuse, or send where that pays."""
         customer, plan = job.customer, job.plan
-        if job.over:
-            self._uncount(now, job)
-            return
-        if not plan.rate:
-            inside = True
-        elif self._known(now, customer):
-            # An asked total holds this request's units already; what was taken since is off the copy.
-            inside = customer.elsewhere.level(now) >= job.units
-        else:
-            inside, known = customer.slice_fits(now, job.units), customer.elsewhere
-            if not inside and customer.thin and now - self.answered_at < EPOCH / 3:  # crowded, not dead
-                recent = now - known.told_at < EPOCH / 3
-                inside = known.level(now) >= job.units if recent else self._pays(plan)
+        inside = not plan.rate or customer.slice_fits(now, job.units)
         if plan.open_limit and customer.open >= customer.open_limit:
             inside = False
         pressure, job.inside = self.fleet.pressure(now), inside
@@ -583,9 +422,7 @@
             if job.plan.ceiling_rate:
                 job.customer.ceiling.take(job.units)
             if job.inside:
-                self.untold[job.customer.key] = job.customer
-                job.customer.take(now, job.units, job.counted)
-                job.counted = False
+                job.customer.take(job.units)
             if self.settings.second_copies and not job.late:
                 self.watched.append((now + COPY * self.fleet.patience, job))
                 if not self.watching:
@@ -607,7 +444,6 @@
     def _finish(self, now: float, job: Job) -> None:
         """The final answer from here: refused if that is harmless, else failed."""
         job.over = True
-        self._uncount(now, job)
         self.jobs.pop(job.id, None)
         if job.may_refuse():
             # The whole store refills in this time, and the client may come back through another gateway.
@@ -616,14 +452,6 @@
         else:
             self.actions.append(api.Fail(job.id))
 
-    def _uncount(self, now: float, job: Job) -> None:
-        """Units that were counted but not sent on are given back; where many share a count, as its debt."""
-        customer = job.customer
-        if job.counted and not (customer.thin and customer.elsewhere.told_at == now):
-            customer.unreported -= job.units
-            self.untold[customer.key] = customer
-        job.counted = False
-
     def _ended(self, now: float, event: api.AttemptEnded) -> None:
         job, server = self.out.pop((event.id, event.attempt), (None, None))
         if job is None or server is None:
@@ -646,7 +474,6 @@
                 self.actions += [api.Cancel(job.id, number) for number in job.out]
             if event.settled and job.inside:
                 customer.settle(event.settled - job.units)
-                self.untold[customer.key] = customer
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
             if event.outcome is api.Outcome.TIMEOUT:
                 server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
@@ -682,102 +509,7 @@
         if self.watching:
             self.actions.append(api.SetTimer(self.watched[0][0] - now, COPIES))
 
-    # What is known of others
-
-    def _ask(self, now: float, customer: Customer, job: Job | None = None) -> bool:
-        """Adds this gateway's use to the customer's count and asks for the total; False: not now.
-
-        Danger: two gateways that ask at once are told of the same room.  The units of a request that
-        waits for the answer are counted with the call, so that the later call sees the earlier one.
-        """
-        if not self.counting or customer.asked_at > -1e17 or (job and self.rng.random() >= self.ask_share):
-            return False
-        if job is not None:
-            job.counted = True
-            # Each question stands for those like it that were sent unasked.
-            unasked = customer.thin and self._pays(job.plan)
-            customer.unreported += job.units / (self.ask_share if unasked else 1.0)
-        offset = customer.hash % 1000 / 1000
-        index = int(now / EPOCH + offset)
-        name = customer.hash << 24 | index & 0xFFFFFF
-        if name != customer.name:
-            customer.name, customer.name_start = name, (index - offset) * EPOCH
-            customer.mine = customer.others = customer.doubtful = 0.0
-        customer.asked_at = now
-        self.untold.pop(customer.key, None)
-        self.asked[name] = customer, customer.unreported
-        self.actions.append(api.Count(name, round(customer.unreported, 3), 2 * EPOCH))
-        return True
-
-    def _counted(self, now: float, event: api.CounterReply) -> None:
-        customer, added = self.asked.pop(event.name, (None, 0.0))
-        if customer is None:
-            return
-        customer.asked_at = -1e18
-        if event.outcome is not api.Outcome.OK:
-            # Danger: hundreds of gateways that ask more than a counter can take get no answer at all, and
-            # each question holds a request.  Each asks less when it fails and more when it is quick.
-            if now - self.less_at >= self.settings.counter_timeout:  # a connection's end fails many at once
-                self.ask_share, self.less_at = max(LEAST_ASKED, self.ask_share * (1 - ASK_LESS)), now
-            if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
-                customer.unreported -= added
-                customer.mine += added
-                customer.doubtful += added
-        else:
-            self.answered_at = now
-            if event.latency < QUICK * self.settings.counter_timeout:
-                self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
-            customer.unreported -= added
-            customer.mine += added
-            # Danger: units believed added that are not in the count would make each further total look like
-            # the first of a new count, and hand out a burst each time.  Those of calls that timed out are
-            # told again.  What others gave back lowers a total too, but never under what was added here.
-            unadded = min(customer.others - (event.total - customer.mine), customer.doubtful)
-            if unadded > 0.0:
-                customer.mine -= unadded
-                customer.unreported += unadded
-            customer.doubtful = 0.0
-            if event.total < customer.mine - 0.01:  # the count was lost: it goes on from this total
-                customer.mine, customer.others = event.total, 0.0
-            others, known = event.total - customer.mine, customer.elsewhere
-            plan, first = customer.plan, known.told_at < -1e17
-            used = event.total + customer.unreported - sum(job.units for job in customer.held)
-            level = plan.burst + plan.rate * (now - customer.name_start) - used
-            if first or customer.thin:
-                since = customer.name_start if first else known.told_at
-                known.rate = max(0.0, others - customer.others) / max(now - since, known.life)
-                known.reset(now, level)
-            else:
-                known.told(now, others - customer.others)
-            for job in customer.held:
-                inside = known.level(now) >= job.units
-                self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
-            customer.others = max(others, 0.0)
-            # Danger: a count knows no ends, so idle time would add up to credit, and what is refused or sent
-            # beyond the quota to debt.  It is put right at once, so that few do it twice.
-            slack = (1 - self.ask_share + EXACT) * plan.burst
-            if customer.thin and not -slack / 2 < level < plan.burst + 2 * slack:
-                customer.unreported += level - (plan.burst if level > 0 else 0.0)
-                self._ask(now, customer)
-        held, customer.held = customer.held, []
-        for job in held:
-            self._decide(now, job)
-
     def _tick(self, now: float) -> None:
-        self.actions.append(api.SetTimer(self.period, TICK))
-        if now - self.swept > IDLE:
-            self.swept = now
-            for name in [k for k, c in self.customers.items() if c.idle(now)]:
-                self.by_hash.pop(self.customers.pop(name).hash, None)
-        for customer in list(self.untold.values()) if self.counting else ():
-            if abs(customer.unreported) > customer.plan.burst / 8:
-                self._ask(now, customer)
-        if not self.counting and self.settings.peers:
-            text = str(self.life)
-            for customer in sorted(self.customers.values(), key=lambda c: -abs(c.unreported)):
-                row = f" {customer.hash:x}:{round(customer.used * 10)}"
-                if not customer.unreported or len(text) + len(row) > 250:
-                    break
-                text += row
-                customer.unreported = 0.0
-            self.actions.append(api.TellPeers(text))
+        self.actions.append(api.SetTimer(IDLE, TICK))
+        for name in [k for k, c in self.customers.items() if c.idle(now)]:
+            del self.customers[name]
