--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -224,6 +224,15 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """The operators want this gateway to take nothing more, or (`on` is false) to go on.  After a `last` one
+    the process ends."""
+
+    on: bool = True
+    last: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     backend: str
@@ -317,12 +326,26 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class Welcome:
+    """What the front is told when it asks whether this gateway takes requests."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LetGo:
+    """Whether connections of clients are closed as they fall idle."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
 
 
 Event: TypeAlias = (BackendsChanged | Request | StreamStarted | AttemptEnded | Abandoned | Timer
-                    | ProbeEnded | PeerMessage | CounterReply)
+                    | Drain | ProbeEnded | PeerMessage | CounterReply)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
-                     | Subscribe | FetchBackends | Log)
+                     | Subscribe | FetchBackends | Welcome | LetGo | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -36,7 +36,8 @@
 COPY = 0.5  # of the aim: an attempt out this long gets a second beside it, with time left for an answer
 AMPLE = -0.4  # pressure under which there is room for a second attempt that may not be needed
 WORTHY = 0.75  # of the second attempts were first to answer: then they need no more room than others
-TICK, DISCOVERY, COPIES = 0, 1, 2  # timer tokens
+TURNS_AWAY = 0.5  # s from the first "no" until the front surely sends nothing new
+TICK, DISCOVERY, COPIES, TURNED = 0, 1, 2, 3  # timer tokens
 
 
 class Bucket:
@@ -338,6 +339,8 @@
         self.watched: deque[tuple[float, Job]] = deque()  # when each is due a second attempt, in order
         self.watching = False
         self.copy_odds = 0.5  # share of the second attempts that answered before the first
+        self.draining, self.ending = False, False
+        self.turned_at = 0.0  # when the front has turned away from a drain
         self.actions: list[api.Action] = []
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -366,6 +369,10 @@
                     self.actions.append(api.Subscribe())
                 elif token == COPIES:
                     self._copy(now)
+                elif token == TURNED and self.draining and now >= self.turned_at - self.settings.tick:
+                    self.actions.append(api.LetGo(True))
+            case api.Drain():
+                self._drain(now, event)
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
@@ -374,6 +381,21 @@
                     job.deadline = float("inf")
         return self.actions
 
+    def _drain(self, now: float, event: api.Drain) -> None:
+        """Danger: a front that is not told sends on; clients whose connections close before it has turned
+        away come back by new ones.  What still comes is let in like any other request."""
+        self.ending = self.ending or event.last
+        on = event.on or self.ending
+        if on is self.draining:
+            return
+        self.draining = on
+        self.actions.append(api.Welcome(not on))
+        if on:
+            self.turned_at = now + TURNS_AWAY
+            self.actions.append(api.SetTimer(TURNS_AWAY, TURNED))
+        else:
+            self.actions.append(api.LetGo(False))
+
     # Admission
 
     def _request(self, now: float, event: api.Request) -> None:
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -27,10 +27,11 @@
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 BACKLOG = 512
-LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
+LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while clients are let go
+LAST_COMMAND = 2.0  # s for a command to end that had begun when clients were let go
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 NOTHING = object()  # the reader has no whole command yet
-OK, PONG = b"+OK\r\n", b"+PONG\r\n"
+OK, PONG, NO = b"+OK\r\n", b"+PONG\r\n", b"-ERR draining\r\n"
 
 
 class BadCommand(Exception):
@@ -160,9 +161,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
-        if self.server.draining:
-            # Guards against a connection accepted last that would stay: its request may be on the way.
-            self.server.loop.call_later(LAST_CHANCE, self._end_if_idle)
+        if self.server.letting_go is not None:
+            # Guards against a connection accepted late that would stay: its request may be on the way.
+            self.server.loop.call_later(LAST_CHANCE, self._late)
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
@@ -215,7 +216,7 @@
             if verb in (b"API.READ", b"API.WRITE"):
                 self.server.handler.request(slot, self.server.commands.read(verb, words), self.arrived)
             elif verb == b"PING" and len(words) <= 2:
-                slot.answer(bulk(words[1]) if len(words) == 2 else PONG)
+                slot.answer(NO if not self.server.welcome else bulk(words[1]) if len(words) == 2 else PONG)
             elif verb in (b"CLIENT", b"SELECT"):
                 slot.answer(OK)
             else:
@@ -247,14 +248,29 @@
             return
         self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.used = self.server.clock()
-        if not self.slots and (self.ending or self.server.draining):
+        if not self.slots and (self.ending or self.server.letting_go is not None):
             self.end()
         elif self.full and len(self.slots) <= MOST_PIPELINED // 2:
             self.full = False
             self.server.loop.call_soon(self._parse)
 
+    def let_go(self) -> None:
+        """Ends the connection as it falls idle; what is sent behind an open request is not taken any more."""
+        if self.slots:
+            self.ending = True
+        elif not self.guard.inside():
+            self.end()
+
+    def _late(self) -> None:
+        if self.server.letting_go is not None:
+            self.let_go()
+
     def hurry(self, now: float) -> None:
         """Guards against peers that hold a place and send no command, or never the end of one."""
+        since = self.server.letting_go
+        if since is not None and now - since > LAST_COMMAND and not self.slots:
+            self.end()
+            return
         if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
             return
         if self.guard.inside():
@@ -262,10 +278,6 @@
         else:
             self.end()
 
-    def _end_if_idle(self) -> None:
-        if not self.slots:
-            self.end()
-
     def end(self) -> None:
         """Closes once what was written has gone out."""
         if self.transport is not None:
@@ -313,7 +325,9 @@
         self.commands = CommandReader(settings)
         self.connections: set[Client] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.draining, self.waiting, self.bad = False, False, 0
+        self.welcome = True  # what PING is told
+        self.letting_go: float | None = None  # since when connections are closed as they fall idle
+        self.waiting, self.bad = False, 0
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setblocking(False)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -377,7 +391,7 @@
 
     def left(self, client: Client) -> None:
         self.connections.discard(client)
-        if self.waiting and not self.draining:
+        if self.waiting and self.listener.fileno() >= 0:
             self.waiting = False
             self.loop.add_reader(self.listener, self._accept)
 
@@ -386,15 +400,18 @@
         if self.bad <= LOGGED or self.bad % 1000 == 0:
             log.warning("malformed command %d: %s", self.bad, why)
 
-    def drain(self) -> None:
-        """Accepts what has come, closes the listener, and each connection as it falls idle."""
+    def let_go(self, on: bool) -> None:
+        """Closes each connection as it falls idle, late ones too, until it is taken back."""
+        self.letting_go = self.clock() if on else None
+        if on:
+            for client in list(self.connections):
+                client.let_go()
+
+    def stop(self) -> None:
+        """Accepts what has come and closes the listener."""
         if not self.waiting:
             self._accept()
-        self.draining = True
         self._close_listener()
-        for client in list(self.connections):
-            if not client.slots:
-                client.end()
 
     def close(self) -> None:
         if self.sweeper is not None:
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -28,6 +29,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    control: Address | None  # the second address
     seed: int
     client_sockets: int
     backend_sockets: int
@@ -89,6 +91,7 @@
     if sockets < LEAST_SOCKETS:
         raise BadConfig(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} are needed")
     counter = _get(source, "counter", str) if settings.counter else None
+    control = _get(source, "control", str) if "control" in source else os.environ.get("EDGE_CONTROL")
     # Guards against running out of descriptors: all parts together stay under the limit.
     share = (sockets - min(SPARE_FILES, sockets // 2)) // 2
     return Config(
@@ -96,6 +99,7 @@
         listen=read_address(_get(source, "listen", str), "listen"),
         discovery=read_address(_get(source, "discovery", str), "discovery"),
         counter=None if counter is None else read_address(counter, "counter"),
+        control=read_address(control, "control") if control else None,
         seed=number, client_sockets=share, backend_sockets=share, known=known, settings=settings,
         connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
         idle_time=_positive(limits, "keepalive-s", 15.0),
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -14,6 +14,7 @@
 from mulleinhall.net.clients import Clients, Command, Slot, bulk
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.config import Config
+from mulleinhall.net.control import Control
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery, Listing
 
@@ -23,7 +24,6 @@
 LAST_MARGIN = 0.005  # s before the client's time is up: when a final answer is forced
 MOST_HELD = 48 * 1024 * 1024  # bytes of commands that wait for an answer
 BASE_COST = 2048  # bytes that an open request takes beside its command
-GOES_ON = 0.5  # s that connections are accepted after SIGTERM
 KILL_AFTER = 0.7  # s that SIGKILL leaves beside the longest deadline, which counts MOST_DEADLINE at most
 MOST_DEADLINE = 3.0  # s
 LAST_WORD = 0.25  # s before the earliest SIGKILL: when the rest is answered
@@ -63,11 +63,16 @@
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.discovery = Discovery(config.discovery, self.listed)
         self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock)
+        self.control = None if config.control is None else Control(config.control, self._call, self.clock)
+        self.ending = False
+        self.let_go = asyncio.Event()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
         self.clients.open()
+        if self.control is not None:
+            await self.control.open()
         watch = self.loop.create_task(self.discovery.run())
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
@@ -76,6 +81,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             await watch
         self.backends.close()
+        if self.control is not None:
+            self.control.close()
         if self.counter is not None:
             self.counter.close()
 
@@ -87,11 +94,15 @@
             self.counter.move(config.counter)
 
     async def _drain(self) -> None:
-        """A planned restart: what is held is answered, before the earliest SIGKILL whatever happens."""
+        """The process ends: what is held is answered, before the earliest SIGKILL whatever happens."""
         longest = min(max(c.deadline for c in self.settings.classes), MOST_DEADLINE)
         last = self.loop.time() + longest + KILL_AFTER - LAST_WORD
-        await asyncio.sleep(GOES_ON)
-        self.clients.drain()
+        self.ending = True
+        self.feed(api.Drain(last=True))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(last):
+                await self.let_go.wait()
+        self.clients.stop()
         while self.clients.connections and self.loop.time() < last:
             await asyncio.sleep(0.02)
         for request in list(self.open.values()):
@@ -102,6 +113,18 @@
             await asyncio.sleep(0.01)
         log.info("%s ends", self.config.name)
 
+    def _call(self, line: str) -> str:
+        """The answer to a call at the second address."""
+        match line:
+            case "ready":
+                return "fail ending" if self.ending else "ok"
+            case "drain" | "resume" if self.ending:
+                return "fail ending"
+            case "drain" | "resume":
+                self.feed(api.Drain(line == "drain"))
+                return "ok"
+        return "fail unknown call"
+
     # Clients
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
@@ -227,6 +250,12 @@
                 self.backends.close_idle(backend)
             case api.Log(text=text):
                 log.info("%s", text)
+            case api.Welcome(on=on):
+                self.clients.welcome = on
+                log.info("%s %s", self.config.name, "takes requests" if on else "drains")
+            case api.LetGo(on=on):
+                self.clients.let_go(on)
+                (self.let_go.set if on else self.let_go.clear)()
             case api.Subscribe() | api.FetchBackends():
                 pass  # the watch is always on
             case _:
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -493,7 +493,8 @@
             idle = socket.create_connection(address)
             busy = socket.create_connection(address)
             busy.sendall(resp(b"PING"))
-            served.clients.drain()  # before the loop has seen either of them
+            served.clients.let_go(True)
+            served.clients.stop()  # before the loop has seen either of them
             loop = asyncio.get_running_loop()
             for sock in (idle, busy):
                 sock.setblocking(False)
