--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -295,6 +295,11 @@
         below, same = sum(d < density for d in self.densities), self.densities.count(density)
         return (below + self.rng.random() * same) / len(self.densities)
 
+    def avoided(self, now: float) -> int:
+        """How many of the listed backends get nothing now because of how they fare."""
+        slow = max(self.means.values(), default=self.patience)
+        return sum(s.stalled(now, slow) or s.ejected(now) for s in self.present)
+
     def best(self, job: Job, now: float, servers: list[Server]) -> Server | None:
         tried = {server.info.id for server, _ in job.tries}
         usable = [s for s in servers if job.may_send(s, now, self.settings)]
@@ -381,6 +386,9 @@
                     job.deadline = float("inf")
         return self.actions
 
+    def avoided(self, now: float) -> int:
+        return self.fleet.avoided(now)
+
     def _drain(self, now: float, event: api.Drain) -> None:
         """Danger: a front that is not told sends on; clients whose connections close before it has turned
         away come back by new ones.  What still comes is let in like any other request."""
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -13,6 +13,7 @@
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.figures import Figures
 from mulleinhall.net.resp import FrameGuard
 from mulleinhall.wire import LOADS
 
@@ -178,7 +179,9 @@
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
 
     def __init__(self, most: int, connect_timeout: float, idle_time: float, grace: float, clock: Clock,
-                 ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None]) -> None:
+                 ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None],
+                 figures: Figures) -> None:
+        self.figures = figures
         self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
         self.loop = asyncio.get_running_loop()
@@ -211,6 +214,10 @@
             if not target.listed and target.closes is not None and now > target.closes:
                 del self.targets[name]
 
+    def listed(self) -> int:
+        """How many backends the list has."""
+        return sum(target.listed for target in self.targets.values())
+
     def _leaves(self, target: Target, now: float, gone: bool) -> None:
         if target.closes is None:
             target.closes = now + self.grace
@@ -266,6 +273,7 @@
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
         connection.transport.write(attempt.command(self.clock()))
+        self.figures.forwards += 1
 
     def _closed(self, target: Target) -> bool:
         return target.closes is not None and self.clock() >= target.closes
--- /dev/null
+++ b/mulleinhall/net/figures.py
@@ -0,0 +1,37 @@
+"""What an ingress reports of itself: how its requests ended, its attempts, its backends."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+
+class End(Enum):
+    """How a request ended."""
+
+    SUCCEEDED = "succeeded"
+    DECLINED = "declined"
+    ABORTED = "aborted"
+
+
+class Figures:
+    """Counts from the start of the process."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.ends = {(name, end): 0 for name in classes for end in End}
+        self.outstanding, self.forwards = 0, 0
+
+    def taken(self) -> None:
+        self.outstanding += 1
+
+    def ended(self, name: str, end: End) -> None:
+        self.outstanding -= 1
+        self.ends[name, end] += 1
+
+    def lines(self, discovered: int, ejected: int) -> list[str]:
+        return [
+            *(f"app.results.{name}.{end.value}:{count}|c" for (name, end), count in self.ends.items()),
+            f"app.forwards:{self.forwards}|c",
+            f"app.outstanding:{self.outstanding}|g",
+            f"app.discovered:{discovered}|g",
+            f"app.ejected:{ejected}|g"]
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -17,6 +17,7 @@
 from mulleinhall.net.control import Control
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery, Listing
+from mulleinhall.net.figures import End, Figures
 
 log = logging.getLogger(__name__)
 
@@ -52,13 +53,14 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
         self.open: dict[str, Open] = {}
+        self.figures = Figures(c.name for c in self.settings.classes)
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self.held, self.count = 0, 0
         self.events: deque[api.Event] = deque()
         self.running = False
         self.unsupported: set[str] = set()
         self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
-                                 self.settings.drain_grace, self.clock, self.ended)
+                                 self.settings.drain_grace, self.clock, self.ended, self.figures)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.discovery = Discovery(config.discovery, self.listed)
@@ -118,6 +120,9 @@
         match line:
             case "ready":
                 return "fail ending" if self.ending else "ok"
+            case "show-stat":
+                lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()))
+                return "\n".join([*lines, "eof"])
             case "drain" | "resume" if self.ending:
                 return "fail ending"
             case "drain" | "resume":
@@ -129,9 +134,12 @@
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
         if len(self.open) >= self.config.most_open or self.held > MOST_HELD:
+            self.figures.taken()
+            self.figures.ended(command.request_class, End.DECLINED)
             slot.answer(BUSY)  # the settings' limit on open requests; nothing has run
             return
         self.count += 1
+        self.figures.taken()
         slot.key = key = str(self.count)  # a client's ids need not be new
         request = self.open[key] = Open(key, slot, command, arrived + command.wait)
         self.held += request.size
@@ -145,7 +153,7 @@
     def hung_up(self, slot: Slot) -> None:
         request = self.open.get(slot.key)
         if request is not None and not request.answered:
-            self._over(request)
+            self._over(request, End.ABORTED)
             self.feed(api.Abandoned(request.key))
 
     def _expired(self, request: Open) -> None:
@@ -156,15 +164,17 @@
 
     def _give_up(self, request: Open) -> None:
         if not request.answered:
-            self._answer(request, FAILED)
+            self._answer(request, FAILED, End.ABORTED)
             self.feed(api.Abandoned(request.key))
 
-    def _answer(self, request: Open, data: bytes) -> None:
-        self._over(request)
+    def _answer(self, request: Open, data: bytes, end: End) -> None:
+        self._over(request, end)
         request.slot.answer(data)
 
-    def _over(self, request: Open) -> None:
+    def _over(self, request: Open, end: End) -> None:
+        """The one place where a request ends."""
         request.answered = True
+        self.figures.ended(request.command.request_class, end)
         if request.timer is not None:
             request.timer.cancel()
 
@@ -187,7 +197,7 @@
         if request is not None:
             request.out.discard(attempt)
             if value is not None and not request.answered:
-                self._answer(request, bulk(value))
+                self._answer(request, bulk(value), End.SUCCEEDED)
         self.feed(api.AttemptEnded(
             attempt.request, attempt.number, attempt.backend, outcome, self.clock() - attempt.sent,
             request is None or request.answered, load=load))
@@ -236,9 +246,9 @@
             case api.Send():
                 self._send(action)
             case api.Refuse(id=key, retry_after=wait):
-                self._final(key, b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY)
+                self._final(key, b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY, End.DECLINED)
             case api.Fail(id=key):
-                self._final(key, FAILED)
+                self._final(key, FAILED, End.ABORTED)
             case api.SetTimer(delay=delay, token=token):
                 self.loop.call_later(max(0.0, delay), self.feed, api.Timer(token))
             case api.Count(name=name, add=add, lifetime=lifetime) if self.counter is not None:
@@ -264,11 +274,11 @@
                     self.unsupported.add(kind)
                     log.warning("%s is not possible on these sockets", kind)
 
-    def _final(self, key: str, data: bytes) -> None:
+    def _final(self, key: str, data: bytes, end: End) -> None:
         request = self.open.get(key)
         if request is not None:
             if not request.answered:
-                self._answer(request, data)
+                self._answer(request, data, end)
             self._forget(key)
 
     def _send(self, action: api.Send) -> None:
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -12,6 +12,7 @@
 from mulleinhall.net import backends as module
 from mulleinhall.net.backends import Attempt, Backends
 from mulleinhall.net.clock import unix_clock
+from mulleinhall.net.figures import Figures
 from tests.peers import Address, Peer, Reader, Writer, backend, read_command, run, until, value
 
 PARTS = b"*4\r\n$8\r\nAPI.READ\r\n$2\r\nc7\r\n$2\r\nr1\r\n", b"c=read,d=2000,t=basic,x=9", b"\r\n"
@@ -23,7 +24,8 @@
     def __init__(self, *addresses: Address, most: int = 8, timeout: float = 0.25, idle: float = 15.0) -> None:
         self.ends: list[tuple[int, Outcome, bytes | None]] = []
         self.skipped, clock, self.count = 0.0, unix_clock(), 0
-        self.pool = Backends(most, timeout, idle, 1.0, lambda: clock() + self.skipped, self.ended)
+        self.pool = Backends(most, timeout, idle, 1.0, lambda: clock() + self.skipped, self.ended,
+                             Figures([]))
         self.tell(*((Backend(f"s{n}"), address) for n, address in enumerate(addresses)))
 
     def tell(self, *rows: tuple[Backend, Address], full: bool = True) -> None:
--- /dev/null
+++ b/tests/test_net_figures.py
@@ -0,0 +1,89 @@
+"""What the ingress reports: each request once, whatever way it ends."""
+
+from __future__ import annotations
+
+import asyncio
+
+import mulleinhall.interface as api
+from mulleinhall.net.ingress import Ingress
+from tests.peers import (
+    Caller,
+    Peer,
+    Reader,
+    Writer,
+    backend,
+    command,
+    config,
+    entry,
+    read_command,
+    run,
+    until,
+)
+from tests.test_net_control import SECOND, call
+from tests.test_net_ingress import Stub, send, serving
+
+
+async def figures(served: Ingress) -> dict[str, int]:
+    lines = (await call(served, b"show-stat")).splitlines()
+    assert lines.pop() == "eof"
+    found = {}
+    for line in lines:
+        name, _, rest = line.removeprefix("app.").partition(":")
+        figure, _, kind = rest.partition("|")
+        assert kind == ("g" if name in ("outstanding", "discovered", "ejected") else "c")
+        found[name] = int(figure)
+    return found
+
+
+def test_each_way_to_end_is_counted_once() -> None:
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        words = await read_command(reader)
+        if words[2] == b"served":
+            writer.write(b"*1\r\n$1\r\nx\r\n")
+        await reader.read()
+
+    def plan(event: api.Event) -> list[api.Action]:
+        match event:
+            case api.Request(id="2"):
+                return [api.Refuse(event.id, 1.0), api.Refuse(event.id, 1.0)]
+            case api.Request(id="3"):
+                return [api.Fail(event.id)]
+            case api.Request(id="4"):
+                return []  # expires
+        return send(event)
+
+    async def body() -> None:
+        async with Peer(script) as peer, serving(
+                config(entry(peer.address), control=SECOND)) as (served, address):
+            served.gateway.handle = Stub(plan).handle  # type: ignore[method-assign]
+            caller = await Caller.to(address)
+            for name in ("served", "refused", "failed", "expired"):
+                await caller.ask(command(name, d=100 if name == "expired" else 2000))
+            gone = await Caller.to(address)
+            gone.writer.write(command("gone"))
+            await until(lambda: served.figures.forwards == 2)
+            now = await figures(served)
+            assert now["outstanding"] == 1 and now["forwards"] == 2 and now["discovered"] == 1
+            gone.writer.close()
+            await until(lambda: not served.open)
+            object.__setattr__(served.config, "most_open", 0)
+            await caller.ask(command("too many"))
+            assert await figures(served) == {
+                "results.read.succeeded": 1, "results.read.declined": 2, "results.read.aborted": 3,
+                "results.order.succeeded": 0, "results.order.declined": 0, "results.order.aborted": 0,
+                "forwards": 2, "outstanding": 0, "discovered": 1, "ejected": 0}
+
+    run(body())
+
+
+def test_a_backend_that_refuses_connections_shows_as_avoided() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(config(
+                entry(peer.address), entry(("127.0.0.1", 1), "s2"), control=SECOND)) as (served, address):
+            caller = await Caller.to(address)
+            async with asyncio.timeout(10):
+                while (await figures(served))["ejected"] != 1:
+                    await caller.ask(command())
+            assert (await figures(served))["discovered"] == 2
+
+    run(body())
