--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from mulleinhall.net.config import BadConfig, Config, read_config
+from mulleinhall.net.handover import CannotTakeOver, Taken, socket_path, take_over
 from mulleinhall.net.ingress import Ingress
 
 log = logging.getLogger(__name__)
@@ -36,13 +37,13 @@
             log.error("reload: %s", error)
 
 
-async def serve(config: Config, path: str) -> None:
+async def serve(config: Config, path: str, taken: Taken | None) -> None:
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    ingress = Ingress(config)
+    ingress = Ingress(config, taken=taken, path=socket_path(config.listen))
     following = loop.create_task(follow(path, ingress, reload))
     await ingress.run(stop)
     following.cancel()
@@ -61,7 +62,10 @@
         print(f"mulleinhall: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config, path))
+        uvloop.run(serve(config, path, take_over(socket_path(config.listen))))
+    except CannotTakeOver as error:
+        print(f"mulleinhall: take over: {error}", file=sys.stderr)
+        return 1
     except OSError as error:
         print(f"mulleinhall: listen: {error}", file=sys.stderr)
         return 1
--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -233,6 +233,69 @@
     last: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Twins:
+    """How many other processes of this gateway live; `successor`: one of them takes the new connections."""
+
+    count: int
+    successor: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """What one process of a gateway took from what all share, and how its attempts out change.  `units` is 0
+    but for a first attempt; `work` is 0 unless the backend is cold."""
+
+    customer: str
+    plan: str
+    spread: int
+    units: float = 0.0
+    inside: bool = False
+    out: int = 0
+    backend: str = ""
+    work: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerState:
+    """A customer's buckets, and its attempts out."""
+
+    customer: str
+    plan: str
+    spread: int
+    slice_level: float
+    ceiling_level: float
+    out: int
+
+
+@dataclass(frozen=True, slots=True)
+class BackendState:
+    """What is known of a backend."""
+
+    id: str
+    limit: float
+    was_cut: bool
+    wait: float
+    pace: float
+    failures: int
+    unreachable: bool
+    retry_at: float
+    budget: float
+
+
+@dataclass(frozen=True, slots=True)
+class Estate:
+    """All that a process hands to the one that takes its place."""
+
+    born: float
+    draining: bool
+    typical: float
+    done: float
+    means: Mapping[str, float]
+    customers: tuple[CustomerState, ...]
+    backends: tuple[BackendState, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     backend: str
@@ -340,12 +403,17 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TellTwins:
+    spent: Spent
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
 
 
 Event: TypeAlias = (BackendsChanged | Request | StreamStarted | AttemptEnded | Abandoned | Timer
-                    | Drain | ProbeEnded | PeerMessage | CounterReply)
+                    | Drain | Twins | Spent | Estate | ProbeEnded | PeerMessage | CounterReply)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
-                     | Subscribe | FetchBackends | Welcome | LetGo | Log)
+                     | Subscribe | FetchBackends | Welcome | LetGo | TellTwins | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -59,18 +59,19 @@
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float) -> None:
-        self.plan, self.spread, self.seen = plan, max(1, event.spread), now
+    def __init__(self, name: str, plan: api.Plan, spread: int, now: float, age: float) -> None:
+        self.name, self.plan, self.spread, self.seen = name, plan, spread, now
         share, burst = plan.rate / self.spread, plan.burst / self.spread
         self.slice = Bucket(share, burst, burst, now)
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
-        self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
+        self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
+        self.open_limit = max(1, int(plan.open_limit / self.spread))
 
-    def resize(self, now: float, event: api.Request) -> None:
+    def resize(self, now: float, spread: int) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
-        part = self.spread / max(1, event.spread)
-        self.spread = max(1, event.spread)
+        part = self.spread / spread
+        self.spread = spread
         for bucket in (self.slice, self.ceiling):
             bucket.fits(now, 0.0)
             bucket.rate, bucket.cap = bucket.rate * part, bucket.cap * part
@@ -79,9 +80,18 @@
 
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
-        return (now - self.seen > IDLE and not self.open
+        return (now - self.seen > IDLE and not self.open and not self.elsewhere
                 and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
 
+    def state(self, now: float) -> api.CustomerState:
+        self.slice.fits(now, 0.0)
+        self.ceiling.fits(now, 0.0)
+        return api.CustomerState(self.name, self.plan.name, self.spread, self.slice.level, self.ceiling.level,
+                                 self.open + self.elsewhere)
+
+    def full(self) -> bool:
+        return bool(self.plan.open_limit) and self.open + self.elsewhere >= self.open_limit
+
     def slice_fits(self, now: float, units: float) -> bool:
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
@@ -145,6 +155,15 @@
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
         self.budget = Bucket(0.0, 1.0, level, now)
 
+    def state(self) -> api.BackendState:
+        return api.BackendState(self.info.id, self.limit, self.was_cut, self.wait, self.pace, self.failures,
+                                self.unreachable, self.retry_at, self.budget.level)
+
+    def inherit(self, state: api.BackendState) -> None:
+        self.limit, self.was_cut, self.wait, self.pace = state.limit, state.was_cut, state.wait, state.pace
+        self.failures, self.unreachable, self.retry_at = state.failures, state.unreachable, state.retry_at
+        self.budget.level = state.budget
+
     def cold(self, now: float, settings: api.Settings) -> bool:
         return self.info.started > 0.0 and now < self.info.started + settings.cold_time
 
@@ -344,7 +363,8 @@
         self.watched: deque[tuple[float, Job]] = deque()  # when each is due a second attempt, in order
         self.watching = False
         self.copy_odds = 0.5  # share of the second attempts that answered before the first
-        self.draining, self.ending = False, False
+        self.called, self.ending, self.draining = False, False, False  # by call, by SIGTERM, by either
+        self.twins = api.Twins(0)
         self.turned_at = 0.0  # when the front has turned away from a drain
         self.actions: list[api.Action] = []
 
@@ -378,6 +398,12 @@
                     self.actions.append(api.LetGo(True))
             case api.Drain():
                 self._drain(now, event)
+            case api.Twins():
+                self._twins(event)
+            case api.Spent():
+                self._spent(now, event)
+            case api.Estate():
+                self._inherit(now, event)
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
@@ -393,7 +419,11 @@
         """Danger: a front that is not told sends on; clients whose connections close before it has turned
         away come back by new ones.  What still comes is let in like any other request."""
         self.ending = self.ending or event.last
-        on = event.on or self.ending
+        self.called = self.called if event.last else event.on
+        if self.ending and self.twins.successor:
+            self.actions.append(api.LetGo(True))  # the front need not turn away: the gateway goes on
+            return
+        on = self.called or self.ending
         if on is self.draining:
             return
         self.draining = on
@@ -404,17 +434,74 @@
         else:
             self.actions.append(api.LetGo(False))
 
+    # Upgrade: two processes for a while, which spend from the same buckets
+
+    def estate(self, now: float) -> api.Estate:
+        """What the process that takes this one's place must know."""
+        fleet = self.fleet
+        return api.Estate(now if self.born is None else self.born, self.called, fleet.typical, fleet.done,
+                          dict(fleet.means), tuple(c.state(now) for c in self.customers.values()),
+                          tuple(s.state() for s in fleet.servers.values()))
+
+    def _inherit(self, now: float, estate: api.Estate) -> None:
+        """Danger: a fresh process would hand out a second burst, and hold every ceiling to be empty."""
+        fleet = self.fleet
+        self.born = estate.born
+        fleet.means, fleet.typical = dict(estate.means), estate.typical
+        fleet.done, fleet.done_at = estate.done, now
+        for known in estate.customers:
+            if known.plan in self.plans:
+                customer = self._customer(now, known.customer, self.plans[known.plan], known.spread)
+                customer.slice.level, customer.ceiling.level = known.slice_level, known.ceiling_level
+                customer.elsewhere = known.out
+        for state in estate.backends:
+            if server := fleet.servers.get(state.id):
+                server.inherit(state)
+        if estate.draining:
+            self._drain(now, api.Drain())
+
+    def _twins(self, event: api.Twins) -> None:
+        self.twins = event
+        if not event.count:
+            for customer in self.customers.values():
+                customer.elsewhere = 0
+
+    def _spent(self, now: float, event: api.Spent) -> None:
+        """Danger: buckets that do not see what the other process takes allow it twice."""
+        if event.plan not in self.plans:
+            return
+        customer = self._customer(now, event.customer, self.plans[event.plan], event.spread)
+        customer.elsewhere = max(0, customer.elsewhere + event.out)
+        if event.units:
+            customer.slice.fits(now, 0.0)
+            customer.ceiling.fits(now, 0.0)
+            if customer.plan.ceiling_rate:
+                customer.ceiling.take(event.units)
+            if event.inside:
+                customer.take(event.units)
+        if event.work and (server := self.fleet.servers.get(event.backend)):
+            server.budget.take(event.work)
+
+    def _tell(self, customer: Customer, out: int, units: float = 0.0, inside: bool = False,
+              backend: str = "", work: float = 0.0) -> None:
+        self.actions.append(api.TellTwins(api.Spent(
+            customer.name, customer.plan.name, customer.spread, units, inside, out, backend, work)))
+
     # Admission
 
-    def _request(self, now: float, event: api.Request) -> None:
-        plan, cls = self.plans[event.plan], self.classes[event.request_class]
-        customer = self.customers.get(event.customer)
-        if customer is not None and customer.spread != max(1, event.spread):
-            customer.resize(now, event)
+    def _customer(self, now: float, name: str, plan: api.Plan, spread: int) -> Customer:
+        customer, spread = self.customers.get(name), max(1, spread)
+        if customer is not None and customer.spread != spread:
+            customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
             age = now - (self.born or 0.0)
-            customer = self.customers[event.customer] = Customer(event, plan, now, age)
+            customer = self.customers[name] = Customer(name, plan, spread, now, age)
         customer.seen = now
+        return customer
+
+    def _request(self, now: float, event: api.Request) -> None:
+        plan, cls = self.plans[event.plan], self.classes[event.request_class]
+        customer = self._customer(now, event.customer, plan, event.spread)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
         # has left tells when it began, unless its wait is cut to that of a first try.
@@ -432,7 +519,7 @@
         """Inside the quota as far as is known: send.  Beyond it: refuse, or send where that pays."""
         customer, plan = job.customer, job.plan
         inside = not plan.rate or customer.slice_fits(now, job.units)
-        if plan.open_limit and customer.open >= customer.open_limit:
+        if customer.full():
             inside = False
         pressure, job.inside = self.fleet.pressure(now), inside
         pays = inside or (plan.over_worth > plan.over_cost and pressure < -0.1)
@@ -446,8 +533,8 @@
         server = self.fleet.best(job, now, self.fleet.near) or self.fleet.best(job, now, self.fleet.present)
         if server is None:
             return False
-        if not job.taken:
-            job.taken = True
+        first, job.taken = not job.taken, True
+        if first:
             self.retries.level = min(self.retries.cap, self.retries.level + RETRY_SHARE)
             if job.plan.ceiling_rate:
                 job.customer.ceiling.take(job.units)
@@ -468,6 +555,9 @@
         self.fleet.sends += 1.0
         self.fleet.held[job.id, number] = now + JAM * job.cls.aim, 1 / job.cls.aim
         self.out[job.id, number] = job, server
+        if self.twins.count:
+            work = self.fleet.work(job) if server.cold(now, self.settings) else 0.0
+            self._tell(job.customer, 1, job.units if first else 0.0, job.inside, server.info.id, work)
         self.actions.append(api.Send(job.id, server.info.id, max(job.deadline - now, 1e-6)))
         return True
 
@@ -488,6 +578,8 @@
             return
         customer = job.customer
         customer.open -= 1
+        if self.twins.count:
+            self._tell(customer, -1)
         sent = server.out.pop((event.id, event.attempt), now)
         job.out.pop(event.attempt, None)
         self.fleet.wait(now)
@@ -531,10 +623,10 @@
         most = 0.0 if self.copy_odds > WORTHY else AMPLE
         while self.watched and (self.watched[0][0] <= now + self.settings.tick or not self.watched[0][1].out):
             job = self.watched.popleft()[1]
-            if not job.over and len(job.out) == 1 and job.deadline < float("inf"):  # else a stream: it began
-                full = job.plan.open_limit and job.customer.open >= job.customer.open_limit
-                if not full and self._room_again(now, job, most) and self._send(now, job):
-                    self.retries.take(1.0)
+            alone = not job.over and len(job.out) == 1
+            fit = alone and job.deadline < float("inf") and not job.customer.full()  # else a stream: it began
+            if fit and self._room_again(now, job, most) and self._send(now, job):
+                self.retries.take(1.0)
         self.watching = bool(self.watched)
         if self.watching:
             self.actions.append(api.SetTimer(self.watched[0][0] - now, COPIES))
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -214,6 +214,9 @@
             if not target.listed and target.closes is not None and now > target.closes:
                 del self.targets[name]
 
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        return {name: target.address for name, target in self.targets.items() if target.listed}
+
     def listed(self) -> int:
         """How many backends the list has."""
         return sum(target.listed for target in self.targets.values())
@@ -275,6 +278,11 @@
         connection.transport.write(attempt.command(self.clock()))
         self.figures.forwards += 1
 
+    def resize(self, most: int) -> None:
+        self.most = most
+        while self.sockets > most and self._spare():
+            pass
+
     def _closed(self, target: Target) -> bool:
         return target.closes is not None and self.clock() >= target.closes
 
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -149,8 +149,8 @@
 class Client(asyncio.Protocol):
     """One connection of a client."""
 
-    def __init__(self, server: Clients) -> None:
-        self.server = server
+    def __init__(self, server: Clients, sock: socket.socket) -> None:
+        self.server, self.sock = server, sock
         self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_WORDS)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
@@ -258,9 +258,16 @@
         """Ends the connection as it falls idle; what is sent behind an open request is not taken any more."""
         if self.slots:
             self.ending = True
-        elif not self.guard.inside():
+        elif not self.guard.inside() and not self._unread():
             self.end()
 
+    def _unread(self) -> bool:
+        """Guards against a request that would meet a closed connection: the loop has not told of it yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def _late(self) -> None:
         if self.server.letting_go is not None:
             self.let_go()
@@ -320,7 +327,7 @@
     """The listener and all connections of clients, no more than `most`."""
 
     def __init__(self, address: tuple[str, int], most: int, settings: Settings, handler: Handler,
-                 clock: Clock) -> None:
+                 clock: Clock, listener: socket.socket | None = None) -> None:
         self.loop, self.clock, self.most, self.handler = asyncio.get_running_loop(), clock, most, handler
         self.commands = CommandReader(settings)
         self.connections: set[Client] = set()
@@ -328,10 +335,12 @@
         self.welcome = True  # what PING is told
         self.letting_go: float | None = None  # since when connections are closed as they fall idle
         self.waiting, self.bad = False, 0
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.accepting = True
+        self.listener = listener or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setblocking(False)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
+        if listener is None:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind(address)
         self.sweeper: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
@@ -350,7 +359,7 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self)
+            client = Client(self, sock)
             self.connections.add(client)
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
@@ -386,15 +395,32 @@
 
     def _close_listener(self) -> None:
         if self.listener.fileno() >= 0:
+            self.accepting = False
             self.loop.remove_reader(self.listener)
             self.listener.close()
 
     def left(self, client: Client) -> None:
         self.connections.discard(client)
-        if self.waiting and self.listener.fileno() >= 0:
+        self._go_on()
+
+    def resize(self, most: int) -> None:
+        self.most = most
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self.waiting and self.accepting and len(self.connections) < self.most:
             self.waiting = False
             self.loop.add_reader(self.listener, self._accept)
 
+    def accept(self, on: bool) -> None:
+        """Whether this process accepts; if not, another one does, from the same socket."""
+        if self.listener.fileno() >= 0 and on is not self.accepting:
+            self.accepting, self.waiting = on, False
+            if on:
+                self.loop.add_reader(self.listener, self._accept)
+            else:
+                self.loop.remove_reader(self.listener)
+
     def note(self, why: str) -> None:
         self.bad += 1
         if self.bad <= LOGGED or self.bad % 1000 == 0:
@@ -408,8 +434,8 @@
                 client.let_go()
 
     def stop(self) -> None:
-        """Accepts what has come and closes the listener."""
-        if not self.waiting:
+        """Accepts what has come, unless another process does, and closes the listener."""
+        if self.accepting and not self.waiting:
             self._accept()
         self._close_listener()
 
--- /dev/null
+++ b/mulleinhall/net/handover.py
@@ -0,0 +1,213 @@
+"""Upgrade: the processes of one ingress find each other, hand over, and tell each other what they spend."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import os
+import socket
+import tempfile
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import asdict, astuple
+from pathlib import Path
+from typing import Any, Protocol, cast
+
+import mulleinhall.interface as api
+from mulleinhall.net.discovery import Listing
+
+log = logging.getLogger(__name__)
+
+FORM = 1  # of what is said; a process that speaks another is not understood
+PATIENCE = 3.0  # s for the process before to hand over
+MOST_WAITING = 8 << 20  # bytes that wait to be written to another process
+LONGEST = 16 << 20  # bytes of a line
+
+
+class CannotTakeOver(Exception):
+    """There is a process before this one, and it can't be understood."""
+
+
+class Taken:
+    """What the process before has handed over."""
+
+    def __init__(self, sock: socket.socket, listener: socket.socket | None, message: Mapping[str, Any],
+                 rest: bytes) -> None:
+        self.sock, self.listener, self.rest = sock, listener, rest
+        try:
+            if message["form"] != FORM:
+                raise ValueError(f"form {message['form']!r}")
+            self.listing = Listing(0, True, tuple(api.Backend(**row | {"readiness": api.Readiness(
+                row["readiness"])}) for row in message["backends"]),
+                {name: (host, port) for name, (host, port) in message["addresses"].items()})
+            self.estate = read_estate(message["estate"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
+
+
+def socket_path(listen: tuple[str, int]) -> Path:
+    return Path(tempfile.gettempdir()) / f"ingress-{listen[0]}-{listen[1]}"
+
+
+def read_estate(row: Mapping[str, Any]) -> api.Estate:
+    return api.Estate(
+        float(row["born"]), bool(row["draining"]), float(row["typical"]), float(row["done"]), row["means"],
+        tuple(api.CustomerState(*state) for state in row["customers"]),
+        tuple(api.BackendState(*state) for state in row["backends"]))
+
+
+def will(infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
+         estate: api.Estate) -> dict[str, Any]:
+    """The first message to a process that takes over."""
+    return {
+        "form": FORM, "addresses": addresses,
+        "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
+                     if info.id in addresses],
+        "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
+                   "done": estate.done, "means": estate.means,
+                   "customers": [astuple(c) for c in estate.customers],
+                   "backends": [astuple(b) for b in estate.backends]}}
+
+
+@contextlib.contextmanager
+def _reached(path: Path) -> Iterator[str]:
+    """A name for the path that fits into a socket's address, however deep the folder lies."""
+    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
+
+
+def take_over(path: Path) -> Taken | None:
+    """Asks the process before, if there is one.  Blocks: this one does not serve yet."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.settimeout(PATIENCE)
+        try:
+            with _reached(path) as name:
+                sock.connect(name)
+            data, files, _, _ = socket.recv_fds(sock, 1, 1)
+        except TimeoutError as error:
+            raise CannotTakeOver("the process before is silent") from error
+        except OSError as error:
+            log.info("nothing to take over: %s", error)  # none, one that ends now, or what a crash left there
+            return None
+        listener = socket.socket(fileno=files[0]) if files else None
+        try:
+            line, rest = _read_line(sock, data)
+            return Taken(sock.dup(), listener, json.loads(line), rest)
+        except (OSError, ValueError) as error:
+            raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
+
+
+def _read_line(sock: socket.socket, data: bytes) -> tuple[bytes, bytes]:
+    pieces = [data]
+    while b"\n" not in pieces[-1]:
+        pieces.append(sock.recv(1 << 16))
+        if not pieces[-1]:
+            raise CannotTakeOver("the process before hung up")
+    line, _, rest = b"".join(pieces).partition(b"\n")
+    return line, rest
+
+
+class Owner(Protocol):
+    """The process whose links these are."""
+
+    def last_will(self) -> tuple[socket.socket | None, dict[str, Any]]: ...
+
+    def twins_changed(self) -> None: ...
+
+    def heard(self, link: Link, message: Mapping[str, Any]) -> None: ...
+
+
+class Link(asyncio.Protocol):
+    """A connection to another process of this ingress: one line of JSON a message."""
+
+    def __init__(self, handover: Handover, after: bool) -> None:
+        self.handover, self.after = handover, after  # whether the other one came after this
+        self.transport: asyncio.Transport | None = None
+        self.rest = b""
+        self.held: tuple[int, ...] = ()  # what the other holds of what both may
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
+        owner = self.handover.owner
+        if self.after:
+            listener, will = owner.last_will()
+            if listener is not None:
+                self._pass_on(listener)
+            else:
+                self.transport.write(b" ")
+            self.tell(will)
+        self.handover.links.add(self)
+        owner.twins_changed()
+
+    def _pass_on(self, listener: socket.socket) -> None:
+        """Sends the socket beside a blank that the reader of the first line skips."""
+        assert self.transport is not None
+        with socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno())) as sock:
+            socket.send_fds(sock, [b" "], [listener.fileno()])
+
+    def tell(self, message: Mapping[str, Any]) -> None:
+        if self.transport is None:
+            return
+        self.transport.write(json.dumps(message).encode() + b"\n")
+        if self.transport.get_write_buffer_size() > MOST_WAITING:
+            log.warning("another process does not read: it is given up")
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            try:
+                self.handover.owner.heard(self, json.loads(line))
+            except (ValueError, TypeError, KeyError, AttributeError) as error:
+                log.warning("another process says %.80r: %s", line, error)
+        if len(self.rest) > LONGEST and self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.handover.links.discard(self)
+        self.handover.owner.twins_changed()
+
+
+class Handover:
+    """The links to other processes of this ingress, and the socket where the next one finds it."""
+
+    def __init__(self, path: Path, owner: Owner) -> None:
+        self.path, self.owner, self.links = path, owner, set[Link]()
+        self.loop = asyncio.get_running_loop()
+        self.server: asyncio.Server | None = None
+
+    async def open(self, taken: Taken | None) -> None:
+        if taken is not None:
+            _, link = await self.loop.create_unix_connection(lambda: Link(self, after=False), sock=taken.sock)
+            link.data_received(taken.rest)
+            link.tell({"serving": True})
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            with _reached(self.path.with_name(f"{self.path.name}.{os.getpid()}")) as name:
+                with contextlib.suppress(FileNotFoundError):
+                    os.unlink(name)
+                sock.bind(name)
+                os.chmod(name, 0o600)
+                os.rename(name, self.path)  # over what was there
+        except OSError as error:
+            log.warning("no process can take over from this one: %s", error)
+            sock.close()
+            return
+        self.server = await self.loop.create_unix_server(lambda: Link(self, after=True), sock=sock)
+
+    def tell(self, message: Mapping[str, Any], but: Link | None = None) -> None:
+        for link in list(self.links):
+            if link is not but:
+                link.tell(message)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.links):
+            if link.transport is not None:
+                link.transport.close()
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -5,8 +5,13 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections import deque
+from collections.abc import Mapping
+from dataclasses import astuple
 from math import ceil
+from pathlib import Path
+from typing import Any
 
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
@@ -18,6 +23,7 @@
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery, Listing
 from mulleinhall.net.figures import End, Figures
+from mulleinhall.net.handover import Handover, Link, Taken, will
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +34,7 @@
 KILL_AFTER = 0.7  # s that SIGKILL leaves beside the longest deadline, which counts MOST_DEADLINE at most
 MOST_DEADLINE = 3.0  # s
 LAST_WORD = 0.25  # s before the earliest SIGKILL: when the rest is answered
+HELD_EVERY = 0.1  # s between words to another process on what this one holds
 FLUSH = 0.1  # s for the last answers to go out
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
@@ -48,7 +55,8 @@
 class Ingress:
     """One ingress.  It decides nothing: whom to let in and where to send is the Gateway's."""
 
-    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+    def __init__(self, config: Config, clock: Clock | None = None, taken: Taken | None = None,
+                 path: Path | None = None) -> None:
         self.config, self.settings, self.clock = config, config.settings, clock or unix_clock()
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
@@ -64,7 +72,12 @@
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.discovery = Discovery(config.discovery, self.listed)
-        self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock)
+        self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock,
+                               taken.listener if taken else None)
+        self.taken = taken
+        self.handover = None if path is None else Handover(path, self)
+        self.teller: asyncio.TimerHandle | None = None
+        self.successor: Link | None = None  # the process that accepts in place of this one
         self.control = None if config.control is None else Control(config.control, self._call, self.clock)
         self.ending = False
         self.let_go = asyncio.Event()
@@ -72,9 +85,15 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
+        if self.taken is not None:
+            self.listed(api.ListKind.RESTORED, self.taken.listing)
+            self.feed(self.taken.estate)
         self.clients.open()
         if self.control is not None:
             await self.control.open()
+        if self.handover is not None:
+            await self.handover.open(self.taken)
+            self._tell_held()
         watch = self.loop.create_task(self.discovery.run())
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
@@ -85,6 +104,10 @@
         self.backends.close()
         if self.control is not None:
             self.control.close()
+        if self.handover is not None:
+            self.handover.close()
+        if self.teller is not None:
+            self.teller.cancel()
         if self.counter is not None:
             self.counter.close()
 
@@ -126,10 +149,62 @@
             case "drain" | "resume" if self.ending:
                 return "fail ending"
             case "drain" | "resume":
-                self.feed(api.Drain(line == "drain"))
+                self._drain_all(line == "drain")
                 return "ok"
         return "fail unknown call"
 
+    def _drain_all(self, on: bool, but: Link | None = None) -> None:
+        self.feed(api.Drain(on))
+        if self.handover is not None:
+            self.handover.tell({"drain": on}, but)
+
+    # Other processes of this ingress
+
+    def last_will(self) -> tuple[socket.socket | None, dict[str, Any]]:
+        """What one that comes after this must have."""
+        infos = [s.info for s in self.gateway.fleet.servers.values()]
+        return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
+                will(infos, self.backends.addresses(), self.gateway.estate(self.clock())))
+
+    def twins_changed(self) -> None:
+        assert self.handover is not None
+        if self.successor is not None and self.successor not in self.handover.links:
+            self.successor = None
+            if not self.ending:
+                log.warning("%s: the process that took over is gone", self.config.name)
+                self.clients.accept(True)
+        self.feed(api.Twins(len(self.handover.links), self.successor is not None))
+        self._divide()
+
+    def heard(self, link: Link, message: Mapping[str, Any]) -> None:
+        match message:
+            case {"serving": _}:
+                self.successor = link
+                self.clients.accept(False)
+                log.info("%s: another process takes over", self.config.name)
+                self.twins_changed()
+            case {"spent": row}:
+                self.feed(api.Spent(*row))
+                if self.handover is not None:
+                    self.handover.tell(message, link)
+            case {"drain": on}:
+                self._drain_all(bool(on), link)
+            case {"held": row}:
+                link.held = tuple(row)
+                self._divide()
+
+    def _divide(self) -> None:
+        """What all processes may hold together is what one alone may."""
+        held = [link.held for link in self.handover.links if link.held] if self.handover else []
+        self.clients.resize(max(1, self.config.client_sockets - sum(h[0] for h in held)))
+        self.backends.resize(max(1, self.config.backend_sockets - sum(h[1] for h in held)))
+
+    def _tell_held(self) -> None:
+        assert self.handover is not None
+        self.teller = self.loop.call_later(HELD_EVERY, self._tell_held)
+        if self.handover.links:
+            self.handover.tell({"held": [len(self.clients.connections), self.backends.sockets]})
+
     # Clients
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
@@ -260,6 +335,8 @@
                 self.backends.close_idle(backend)
             case api.Log(text=text):
                 log.info("%s", text)
+            case api.TellTwins(spent=spent) if self.handover is not None:
+                self.handover.tell({"spent": astuple(spent)})
             case api.Welcome(on=on):
                 self.clients.welcome = on
                 log.info("%s %s", self.config.name, "takes requests" if on else "drains")
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -28,6 +29,7 @@
     read_command,
     resp,
     run,
+    until,
     value,
 )
 
@@ -40,14 +42,30 @@
         return port
 
 
+async def start(path: Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "mulleinhall", cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(path), "TMPDIR": str(path.parent)})
+
+
+async def ready(control: Address) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(*control)
+    except ConnectionError:
+        return False
+    writer.write(b"ready\n")
+    answer = await reader.read()
+    writer.close()
+    return answer == b"ok\n"
+
+
 @asynccontextmanager
 async def program(peer: Peer, path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
     address = ("127.0.0.1", free_port())
     path = path / "config.json"
     fleet = (entry(peer.address, f"s{n}") for n in range(8))
     path.write_text(config_text(*fleet, listen=f"127.0.0.1:{address[1]}"), encoding="utf-8")
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)})
+    process = await start(path)
     try:
         while True:
             try:
@@ -99,6 +117,52 @@
     run(body())
 
 
+def test_an_upgrade_loses_nothing(tmp_path: Path) -> None:
+    """Clients ask on without a break, by new connections and by kept ones."""
+    async def body() -> None:
+        async with backend() as peer, program(peer, tmp_path) as (first, address):
+            over = asyncio.Event()
+            answers: list[bytes] = []
+
+            async def anew() -> None:
+                while not over.is_set():
+                    caller = await Caller.to(address)
+                    answers.append(await caller.ask(command("anew", customer=1)))
+                    caller.writer.close()
+                    await asyncio.sleep(0.02)  # inside the quota
+
+            async def keep() -> None:
+                caller = await Caller.to(address)
+                while not over.is_set():
+                    try:
+                        answers.append(await caller.ask(command("kept", customer=2)))
+                    except (EOFError, ConnectionError):  # let go between two requests
+                        caller = await Caller.to(address)
+                    await asyncio.sleep(0.02)
+
+            asking = [asyncio.create_task(anew()), asyncio.create_task(keep())]
+            control = ("127.0.0.1", free_port())
+            source = json.loads((tmp_path / "config.json").read_text(encoding="utf-8"))
+            (tmp_path / "second.json").write_text(
+                json.dumps(source | {"control": f"127.0.0.1:{control[1]}"}), encoding="utf-8")
+            second = await start(tmp_path / "second.json")
+            try:
+                while not await ready(control):
+                    await asyncio.sleep(0.01)
+                first.send_signal(signal.SIGTERM)
+                assert await first.wait() == 0
+                before = len(answers)
+                await until(lambda: len(answers) > before + 4)
+                over.set()
+                await asyncio.gather(*asking)
+                assert set(answers) == {b"anew", b"kept"}
+            finally:
+                second.kill()
+                await second.wait()
+
+    run(body())
+
+
 def test_a_reload_seeks_discovery_at_its_new_address_and_survives_a_bad_file(tmp_path: Path) -> None:
     async def body() -> None:
         asked: list[bytes] = []
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,122 @@
+"""What an upgrade means for the decisions, with no sockets: two processes spend from the same buckets."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from mulleinhall.interface import (
+    Action,
+    Backend,
+    Drain,
+    LetGo,
+    Outcome,
+    Plan,
+    Spent,
+    TellTwins,
+    Timer,
+    Twins,
+    Welcome,
+)
+from mulleinhall.logic import TURNED, TURNS_AWAY
+from tests.conftest import BASIC, SETTINGS, Play, sends
+
+
+def told(actions: list[Action]) -> list[Spent]:
+    return [a.spent for a in actions if isinstance(a, TellTwins)]
+
+
+def heir(old: Play, play: Play | None = None) -> Play:
+    play = play or Play(old.gateway.settings)
+    play.now = old.now
+    play.at(0.0, old.gateway.estate(old.now))
+    return play
+
+
+def test_an_heir_has_no_second_burst() -> None:
+    old = Play()
+    for _ in range(4):  # the slice of 8 over 2
+        [send] = sends(old.ask(units=1.0))
+        old.end(send, after=0.0)
+    new = heir(old)
+    assert not sends(new.ask(0.0))
+    assert sends(new.ask(1.0))  # 2 over 2 a second
+    assert sends(heir(old).ask(0.0, customer="another"))
+
+
+def test_an_heir_holds_the_ceiling_as_it_stands() -> None:
+    plan = replace(BASIC, ceiling_rate=1.0, ceiling_burst=8.0)
+    old = Play(replace(SETTINGS, plans=(plan,)))
+    old.now += 1000.0  # long enough for every ceiling to be full
+    [send] = sends(old.ask())
+    old.end(send, after=0.0)
+    new = heir(old)
+    assert new.gateway.customers["c"].ceiling.level == 3.0
+    assert sends(new.ask(0.0, customer="unseen"))  # full there too: it was dropped or never seen
+
+
+def test_each_tells_what_it_spends_and_the_other_takes_it() -> None:
+    one, other = Play(), Play()
+    one.at(0.0, Twins(1))
+    actions = one.ask()
+    [send] = sends(actions)
+    [spent] = told(actions)
+    assert (spent.customer, spent.units, spent.inside, spent.out) == ("c", 1.0, True, 1)
+    other.at(0.0, Twins(1))
+    other.at(0.0, spent)
+    customer = other.gateway.customers["c"]
+    assert customer.slice.level == 3.0 and customer.elsewhere == 1
+    [ended] = told(one.end(send))
+    other.at(0.0, ended)
+    assert customer.slice.level == 3.0 and customer.elsewhere == 0
+
+
+def test_alone_a_process_tells_nothing() -> None:
+    assert not told(Play().ask())
+
+
+def test_a_cap_on_attempts_out_holds_over_both() -> None:
+    plan = Plan("basic", rate=100.0, burst=100.0, open_limit=2, over_cost=0.5)
+    play = Play(replace(SETTINGS, plans=(plan,)))  # one for each gateway
+    play.at(0.0, Twins(1))
+    play.at(0.0, Spent("c", "basic", 2, 1.0, True, 1))
+    assert not sends(play.ask())
+    play.at(0.0, Twins(0))  # the other is gone, and with it what it had out
+    assert sends(play.ask())
+
+
+def test_a_cold_budget_holds_over_both() -> None:
+    fleet = (Backend("cold", started=99.0),)
+    play, other = Play(fleet=fleet), Play(fleet=fleet)
+    other.gateway.fleet.servers["cold"].budget.level = play.gateway.fleet.servers["cold"].budget.level = 1.0
+    play.at(0.0, Twins(1))
+    [spent] = told(play.ask())
+    assert spent.backend == "cold" and spent.work > 0
+    other.at(0.0, spent)
+    assert not sends(other.ask())
+
+
+def test_an_heir_knows_how_the_servers_fare() -> None:
+    old = Play()
+    [send] = sends(old.ask())
+    old.end(send, Outcome.CONNECT_FAILED)
+    new = heir(old)
+    server = new.gateway.fleet.servers[send.backend]
+    assert server.unreachable and server.ejected(new.now)
+    assert new.gateway.avoided(new.now) == 1
+
+
+def test_with_a_successor_the_end_needs_no_front_to_turn_away() -> None:
+    play = Play()
+    play.at(0.0, Twins(1, successor=True))
+    assert play.at(0.0, Drain(last=True)) == [LetGo(True)]
+
+
+def test_a_drain_by_call_is_inherited_and_an_end_is_not() -> None:
+    old = Play()
+    old.at(0.0, Drain())
+    new = heir(old)
+    assert Welcome(False) in new.actions
+    assert new.at(TURNS_AWAY, Timer(TURNED)) == [LetGo(True)]
+    ending = Play()
+    ending.at(0.0, Drain(last=True))
+    assert Welcome(False) not in heir(ending).actions
