--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -176,7 +176,7 @@
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client asks.  `time_left` is how long it waits; `spread` gateways from number `first`
-    on are those that its customer may use."""
+    on are those that its customer may use.  `room`: the process can hold one more."""
 
     id: str
     request_class: str
@@ -188,6 +188,7 @@
     first: int = 0
     repeat: bool = False
     write: bool = False
+    room: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -113,6 +113,7 @@
         self.inside = False  # its units were taken from the slice
         self.taken = False  # its first attempt was sent
         self.over = False
+        self.streaming: int | None = None  # the attempt whose answer has begun
         self.late = False  # it cannot be answered within its aim any more
         self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
         self.out: dict[int, Server] = {}
@@ -407,9 +408,8 @@
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
-            case api.StreamStarted(id=rid):
-                if job := self.jobs.get(rid):
-                    job.deadline = float("inf")
+            case api.StreamStarted():
+                self._started(now, event)
         return self.actions
 
     def avoided(self, now: float) -> int:
@@ -509,7 +509,8 @@
             self.first_wait[cls.name] = event.time_left
         elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
             job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
-        hopeless = job.late and not cls.late_worth
+        # Danger: a process that is killed for memory loses all it holds; one that refuses loses this one.
+        hopeless = not event.room or (job.late and not cls.late_worth)
         if hopeless or (plan.ceiling_rate and not customer.ceiling.fits(now, job.units)):
             self._finish(now, job)
         else:
@@ -572,6 +573,25 @@
         else:
             self.actions.append(api.Fail(job.id))
 
+    def _started(self, now: float, event: api.StreamStarted) -> None:
+        """The answer has begun: the backend has done its work, and no other attempt can take its place."""
+        if (job := self.jobs.get(event.id)) is None:
+            return
+        job.deadline, job.streaming = float("inf"), event.attempt
+        if server := job.out.get(event.attempt):
+            server.out.pop((event.id, event.attempt), None)
+            self._answered(now, job, server, event.attempt, event.latency)
+
+    def _answered(self, now: float, job: Job, server: Server, attempt: int, latency: float) -> None:
+        server.failures, server.unreachable = 0, False
+        server.answered(now, latency, self.fleet.mean(job.cls), job.cls.aim)
+        self.fleet.note_done(now, job.cls, latency)
+        others = [number for number in job.out if number != attempt]
+        if others and not job.over:
+            self.copy_odds += SMOOTH * ((attempt > min(others)) - self.copy_odds)
+        if self.settings.cancel:
+            self.actions += [api.Cancel(job.id, number) for number in others]
+
     def _ended(self, now: float, event: api.AttemptEnded) -> None:
         job, server = self.out.pop((event.id, event.attempt), (None, None))
         if job is None or server is None:
@@ -587,13 +607,8 @@
         if event.outcome.never_ran:
             job.maybe.remove((server, sent))
         if event.outcome is api.Outcome.OK:
-            server.failures, server.unreachable = 0, False
-            server.answered(now, event.latency, self.fleet.mean(job.cls), job.cls.aim)
-            self.fleet.note_done(now, job.cls, event.latency)
-            if job.out and not job.over:
-                self.copy_odds += SMOOTH * ((event.attempt > min(job.out)) - self.copy_odds)
-            if self.settings.cancel:
-                self.actions += [api.Cancel(job.id, number) for number in job.out]
+            if event.attempt != job.streaming:
+                self._answered(now, job, server, event.attempt, event.latency)
             if event.settled and job.inside:
                 customer.settle(event.settled - job.units)
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -12,19 +12,19 @@
 import hiredis
 
 from mulleinhall.interface import Backend, Outcome, Readiness
+from mulleinhall.net.budget import LARGEST_WINDOW, Budget
 from mulleinhall.net.clock import Clock
 from mulleinhall.net.figures import Figures
-from mulleinhall.net.resp import FrameGuard
+from mulleinhall.net.resp import NOTHING, AnswerReader
 from mulleinhall.wire import LOADS
 
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
-LONGEST_ANSWER = 256 * 1024  # bytes; a value holds at most 64 KiB
-MOST_ELEMENTS = 64  # of an answer: a whole one has three, and the figures on use may hold some
+LONGEST_ANSWER = 256 * 1024  # bytes beside a long value
+SILENCE = 10.0  # s without a byte of a value that has begun: longer than peers take between two pieces
 SWEEP = 1.0  # s between looks for idle connections
-NOTHING = object()  # the reader has no whole answer yet
 
 
 class Attempt:
@@ -40,6 +40,15 @@
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
 
+    def pause(self) -> None:
+        """Back-pressure: no more of the value is read for now."""
+        if self.connection is not None:
+            self.connection.read_on(False)
+
+    def resume(self) -> None:
+        if self.connection is not None:
+            self.connection.read_on(True)
+
     def command(self, now: float) -> bytes:
         """The client's command with the time that is left in place of its own."""
         before, names, after = self.parts
@@ -60,47 +69,63 @@
         self.listed = True
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a backend.  It carries one request at a time: to give one up is to close it."""
 
     def __init__(self, pool: Backends, target: Target, address: tuple[str, int],
                  sock: socket.socket) -> None:
         self.pool, self.target, self.address, self.sock = pool, target, address, sock
-        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_ELEMENTS)
+        self.answers = AnswerReader()
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
-        self.unread, self.idle_since, self.open = 0, 0.0, True
+        self.idle_since, self.open = 0.0, True
+        self.heard, self.paused = 0.0, False  # when a piece of a long value came last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.buffer[:self.pool.budget.window()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.pool.buffer[:nbytes]))
+
+    def read_on(self, on: bool) -> None:
+        if self.transport is not None and not self.transport.is_closing() and on is self.paused:
+            self.paused, self.heard = not on, self.pool.clock()
+            (self.transport.resume_reading if on else self.transport.pause_reading)()
+
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
         if attempt is None:
             self.close()  # nothing was asked: what follows could pass for another's answer
             return
-        self.unread += len(data)
         try:
-            if self.guard.check(data) < len(data):
-                raise hiredis.ProtocolError("too many elements")
-            self.reader.feed(data)
-            answer = self.reader.gets()
+            piece = self.answers.feed(data)
+            size, whole = self.answers.size, not self.answers.left
+            answer = self.answers.answer()
         except hiredis.ProtocolError as error:
             log.warning("backend %s: broken answer: %s", attempt.backend, error)
             self.close()
             self.pool.end(attempt, Outcome.ERROR)
             return
+        if piece:
+            self.heard = self.pool.clock()
+            self.pool.pass_on(attempt, piece, size, whole)
+            if attempt.ended:
+                return
         if answer is NOTHING:
-            if self.unread > LONGEST_ANSWER:
+            if self.answers.kept > LONGEST_ANSWER:
                 log.warning("backend %s: endless answer", attempt.backend)
                 self.close()
                 self.pool.end(attempt, Outcome.ERROR)
             return
-        self.unread, self.attempt = 0, None
-        if self.reader.has_data():
+        self.attempt = None
+        if self.answers.has_data():
             self.close()
         else:
             self.pool.release(self)
+        self.read_on(True)
         outcome, value, load = _meaning(answer)
         self.pool.end(attempt, outcome, value, load)
 
@@ -176,16 +201,20 @@
 
 
 class Backends:
-    """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
+    """The pool.  Each attempt that is started ends exactly once, with a call of `ended`.  A long value is
+    given before that in pieces, with its size, to `piece`; the last one says that it is whole."""
 
     def __init__(self, most: int, connect_timeout: float, idle_time: float, grace: float, clock: Clock,
                  ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None],
-                 figures: Figures) -> None:
-        self.figures = figures
+                 piece: Callable[[Attempt, bytes, int, bool], None], figures: Figures,
+                 budget: Budget) -> None:
+        self.figures, self.budget, self.piece = figures, budget, piece
+        self.buffer = memoryview(bytearray(LARGEST_WINDOW))  # what was read is taken out before the next read
         self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
         self.loop = asyncio.get_running_loop()
         self.targets: dict[str, Target] = {}
+        self.passing: set[Attempt] = set()  # attempts whose long value is passed on
         self.sockets = 0  # connections open or coming up
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -259,10 +288,20 @@
         if attempt.ended:
             return
         attempt.ended, attempt.connection = True, None
+        self.passing.discard(attempt)
+        self.budget.passing = len(self.passing)
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.ended(attempt, outcome, value, load or {})
 
+    def pass_on(self, attempt: Attempt, piece: bytes, size: int, whole: bool) -> None:
+        if attempt not in self.passing:
+            self.passing.add(attempt)
+            self.budget.passing = len(self.passing)
+            if attempt.timer is not None:
+                attempt.timer.cancel()  # a backend that still gives is not cut off
+        self.piece(attempt, piece, size, whole)
+
     def _overdue(self, attempt: Attempt) -> None:
         # What was never written never ran: the connection did not come up in time.
         self._give_up(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
@@ -352,6 +391,10 @@
         for target in self.targets.values():
             while target.idle and target.idle[0].idle_since < limit:
                 target.idle[0].close()
+        silent = self.clock() - SILENCE
+        for connection in [attempt.connection for attempt in self.passing]:
+            if connection is not None and connection.heard < silent and not connection.paused:
+                connection.connection_lost(None)
 
     def close(self) -> None:
         self.sweeper.cancel()
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -24,6 +24,7 @@
 MOST_CUSTOMERS = 2 ** 33
 LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
 MOST_BAD = 16  # malformed commands on a connection; one more ends it
+STALLED = 10.0  # s in which a client reads nothing of what waits for it: longer than between two pieces
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 BACKLOG = 512
@@ -130,14 +131,45 @@
     def hung_up(self, slot: Slot) -> None: ...
 
 
+class Source(Protocol):
+    """Where the pieces of a long value come from."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class Slot:
     """The place of one answer in the order of its connection."""
 
-    __slots__ = ("client", "data", "key")
+    __slots__ = ("client", "data", "key", "pieces", "source")
 
     def __init__(self, client: Client) -> None:
         self.client, self.key = client, ""
-        self.data: bytes | None = None
+        self.data: bytes | None = None  # the whole answer, or what is left of one that was passed on
+        self.source: Source | None = None
+        self.pieces: list[bytes] = []
+
+    def pass_on(self, piece: bytes, source: Source) -> None:
+        """A piece of the one final answer."""
+        if self.data is None:
+            self.source = source
+            self.pieces.append(piece)
+            self.client.flush()
+            if self.client.choked or self.pieces:
+                source.pause()
+
+    def finish(self) -> None:
+        """All pieces are there."""
+        if self.data is None:
+            self.data, self.pieces, self.source = b"".join(self.pieces), [], None
+            self.client.flush()
+
+    def cut(self) -> None:
+        """The answer can't be finished: the client must see that it is not whole."""
+        if self.data is None:
+            self.data = b""
+            self.client.end()
 
     def answer(self, data: bytes) -> None:
         """The one final answer; a second is dropped."""
@@ -157,6 +189,7 @@
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
         self.full, self.choked, self.ending = False, False, False
         self.bad = 0  # malformed commands so far
+        self.waits, self.read_at = 0, self.used  # bytes that wait to be read, and since when just so many
         self.due_from: float | None = self.used  # since when a whole command is due; None: nothing is
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -244,10 +277,14 @@
         ready = []
         while self.slots and self.slots[0].data is not None:
             ready.append(self.slots.popleft().data or b"")
+        if self.slots and self.slots[0].source is not None:
+            ready += self.slots[0].pieces
+            self.slots[0].pieces = []
         if self.transport is None or not ready:
             return
         self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.used = self.server.clock()
+        self._resume()
         if not self.slots and (self.ending or self.server.letting_go is not None):
             self.end()
         elif self.full and len(self.slots) <= MOST_PIPELINED // 2:
@@ -278,6 +315,12 @@
         if since is not None and now - since > LAST_COMMAND and not self.slots:
             self.end()
             return
+        waits = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if not waits or waits != self.waits:
+            self.waits, self.read_at = waits, now
+        elif now - self.read_at > STALLED and self.transport is not None:
+            self.transport.abort()  # it reads nothing of what waits for it
+            return
         if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
             return
         if self.guard.inside():
@@ -303,8 +346,14 @@
         self.choked = True
         self._pace()
 
+    def _resume(self) -> None:
+        """The long value whose turn it is goes on once the client has read."""
+        if self.slots and self.slots[0].source is not None and not self.choked:
+            self.slots[0].source.resume()
+
     def resume_writing(self) -> None:
         self.choked = False
+        self._resume()
         self.server.loop.call_soon(self._parse)
 
     def eof_received(self) -> None:
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -38,6 +38,7 @@
     connect_timeout: float
     idle_time: float  # after which a backend closes an idle connection
     most_open: int
+    memory: int  # bytes
 
 
 def _get(source: Mapping[str, Any], key: str, kind: type[T]) -> T:
@@ -86,8 +87,8 @@
         known = read_listing(source.get("known") or {"version": 0, "full": True, "servers": []})
     except ValueError as error:
         raise BadConfig(f"known: {error}") from None
-    limits = env["limits"]
-    sockets = int(_positive(_get(source, "limits", dict), "sockets", 1024))
+    limits, own = env["limits"], _get(source, "limits", dict)
+    sockets = int(_positive(own, "sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise BadConfig(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} are needed")
     counter = _get(source, "counter", str) if settings.counter else None
@@ -103,4 +104,5 @@
         seed=number, client_sockets=share, backend_sockets=share, known=known, settings=settings,
         connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
         idle_time=_positive(limits, "keepalive-s", 15.0),
-        most_open=int(_positive(limits, "max-open", 20000)))
+        most_open=int(_positive(limits, "max-open", 20000)),
+        memory=int(_positive(own, "memory_mb", 128) * (1 << 20)))
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -16,6 +16,7 @@
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
 from mulleinhall.net.backends import Attempt, Backends
+from mulleinhall.net.budget import Budget
 from mulleinhall.net.clients import Clients, Command, Slot, bulk
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.config import Config
@@ -29,7 +30,6 @@
 
 MARGIN = 0.020  # s before the client's time is up: when the module's time is up
 LAST_MARGIN = 0.005  # s before the client's time is up: when a final answer is forced
-MOST_HELD = 48 * 1024 * 1024  # bytes of commands that wait for an answer
 BASE_COST = 2048  # bytes that an open request takes beside its command
 KILL_AFTER = 0.7  # s that SIGKILL leaves beside the longest deadline, which counts MOST_DEADLINE at most
 MOST_DEADLINE = 3.0  # s
@@ -42,13 +42,14 @@
 class Open:
     """An open request."""
 
-    __slots__ = ("answered", "command", "deadline", "key", "out", "size", "slot", "timer", "tries")
+    __slots__ = ("answered", "command", "deadline", "key", "out", "passing", "size", "slot", "timer", "tries")
 
     def __init__(self, key: str, slot: Slot, command: Command, deadline: float) -> None:
         self.key, self.slot, self.command, self.deadline = key, slot, command, deadline
         self.tries, self.answered = 0, False
         self.size = BASE_COST + sum(map(len, command.words))
         self.out: set[Attempt] = set()
+        self.passing: Attempt | None = None  # the one whose value the client gets in pieces
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -61,14 +62,16 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
         self.open: dict[str, Open] = {}
+        self.budget = Budget(config.memory)
         self.figures = Figures(c.name for c in self.settings.classes)
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
-        self.held, self.count = 0, 0
+        self.count = 0
         self.events: deque[api.Event] = deque()
         self.running = False
         self.unsupported: set[str] = set()
         self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
-                                 self.settings.drain_grace, self.clock, self.ended, self.figures)
+                                 self.settings.drain_grace, self.clock, self.ended, self.piece, self.figures,
+                                 self.budget)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.discovery = Discovery(config.discovery, self.listed)
@@ -198,37 +201,38 @@
         held = [link.held for link in self.handover.links if link.held] if self.handover else []
         self.clients.resize(max(1, self.config.client_sockets - sum(h[0] for h in held)))
         self.backends.resize(max(1, self.config.backend_sockets - sum(h[1] for h in held)))
+        self.budget.processes = 1 + len(self.handover.links) if self.handover else 1
+        self.budget.elsewhere = sum(h[2] for h in held)
 
     def _tell_held(self) -> None:
         assert self.handover is not None
         self.teller = self.loop.call_later(HELD_EVERY, self._tell_held)
         if self.handover.links:
-            self.handover.tell({"held": [len(self.clients.connections), self.backends.sockets]})
+            self.handover.tell({"held": [
+                len(self.clients.connections), self.backends.sockets, self.budget.used()]})
 
     # Clients
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
-        if len(self.open) >= self.config.most_open or self.held > MOST_HELD:
-            self.figures.taken()
-            self.figures.ended(command.request_class, End.DECLINED)
-            slot.answer(BUSY)  # the settings' limit on open requests; nothing has run
-            return
         self.count += 1
         self.figures.taken()
         slot.key = key = str(self.count)  # a client's ids need not be new
         request = self.open[key] = Open(key, slot, command, arrived + command.wait)
-        self.held += request.size
+        room = len(self.open) <= self.config.most_open and self.budget.room(request.size)
+        self.budget.held += request.size
         left = request.deadline - self.clock()
         request.timer = self.loop.call_later(max(0.0, left - LAST_MARGIN), self._expired, request)
         # A fixed margin, so that the module sees the same wait as the client named.
         wait = command.wait - min(MARGIN, command.wait / 10)
         self.feed(api.Request(key, command.request_class, command.plan, command.customer, wait, command.units,
-                              command.spread, command.first, command.repeat, command.write))
+                              command.spread, command.first, command.repeat, command.write, room))
 
     def hung_up(self, slot: Slot) -> None:
         request = self.open.get(slot.key)
         if request is not None and not request.answered:
             self._over(request, End.ABORTED)
+            if request.passing is not None:
+                self.backends.cancel(request.passing)
             self.feed(api.Abandoned(request.key))
 
     def _expired(self, request: Open) -> None:
@@ -238,7 +242,9 @@
             self._give_up(request)
 
     def _give_up(self, request: Open) -> None:
-        if not request.answered:
+        if request.passing is not None:
+            self.backends.cancel(request.passing)
+        elif not request.answered:
             self._answer(request, FAILED, End.ABORTED)
             self.feed(api.Abandoned(request.key))
 
@@ -257,7 +263,7 @@
         """The module knows that the request is over."""
         request = self.open.pop(key, None)
         if request is not None:
-            self.held -= request.size
+            self.budget.held -= request.size
 
     # Discovery and backends
 
@@ -265,12 +271,35 @@
         self.backends.change(kind is not api.ListKind.UPDATE, listing.backends, listing.addresses)
         self.feed(api.BackendsChanged(kind, listing.backends, listing.version))
 
+    def piece(self, attempt: Attempt, piece: bytes, size: int, whole: bool) -> None:
+        """A piece of a long value.  With the first one the request belongs to the attempt: no other can
+        replace it."""
+        request = self.open.get(attempt.request)
+        if request is None or request.answered or request.passing not in (None, attempt):
+            self.backends.cancel(attempt)
+            return
+        if request.passing is None:
+            request.passing = attempt
+            if request.timer is not None:
+                request.timer.cancel()
+            piece = b"$%d\r\n%b" % (size, piece)
+            self.feed(api.StreamStarted(request.key, attempt.number, attempt.backend,
+                                        self.clock() - attempt.sent))
+        request.slot.pass_on(piece, attempt)
+        if whole and not request.answered:
+            self._over(request, End.SUCCEEDED)
+            request.slot.finish()
+            attempt.resume()
+
     def ended(self, attempt: Attempt, outcome: api.Outcome, value: bytes | None,
               load: dict[str, float]) -> None:
         request = self.open.get(attempt.request)
         self.attempts.pop((attempt.request, attempt.number), None)
         if request is not None:
             request.out.discard(attempt)
+            if request.passing is attempt and not request.answered:
+                self._over(request, End.ABORTED)
+                request.slot.cut()
             if value is not None and not request.answered:
                 self._answer(request, bulk(value), End.SUCCEEDED)
         self.feed(api.AttemptEnded(
--- a/mulleinhall/net/resp.py
+++ b/mulleinhall/net/resp.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
+import re
+from typing import Any
+
+import hiredis
+
 LONGEST_LINE = 4096  # bytes of a header or a simple line
+LONG = 64 * 1024  # bytes: a value that holds more is passed on in pieces
+LARGEST = 4 << 20  # bytes of a value
+MOST_ELEMENTS = 64  # of an answer: a whole one has three, and the figures on use may hold some
+NOTHING = object()  # there is no whole answer yet
+HEAD = re.compile(rb"\*([1-9]\d?)\r\n\$(\d{1,10})\r\n")  # of an answer that begins with a value
+PART = re.compile(rb"(\*([1-9](\d?(\r(\n(\$(\d{0,10}\r?)?)?)?)?)?)?)?")  # of such a head
 
 
 class FrameGuard:
@@ -62,3 +73,57 @@
         self.due += elements
         self.claimed += elements
         return 0
+
+
+class AnswerReader:
+    """Reads the answers of a backend, one at a time.  A long value in front of one is not kept: `feed` gives
+    it in pieces, with the line's end that follows it, and the answer then begins with an empty value."""
+
+    def __init__(self) -> None:
+        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_ELEMENTS)
+        self.head: bytes | None = b""  # what has come of an answer's head
+        self.size, self.left = 0, 0  # of the long value at hand, 0 for none; what is still to come of it
+        self.tail = b""
+        self.kept = 0  # bytes of the answer at hand that are held
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes in data; the piece of a long value that it holds.  ProtocolError if it makes no sense."""
+        if self.head is not None:
+            data, self.head = self.head + data, None
+            found = HEAD.match(data)
+            if found is None and PART.fullmatch(data):
+                self.head = data
+                return b""
+            if found is not None and int(found[2]) > LONG:
+                self.size = int(found[2])
+                if self.size > LARGEST:
+                    raise hiredis.ProtocolError("value too large")
+                self.left = self.size + 2
+                self._keep(b"*%b\r\n$0\r\n\r\n" % found[1])
+                data = data[found.end():]
+        piece = data[:self.left]
+        if piece:
+            data, self.left = data[len(piece):], self.left - len(piece)
+            self.tail = (self.tail + piece)[-2:]
+            if not self.left and self.tail != b"\r\n":
+                raise hiredis.ProtocolError("a value that does not end where it said")
+        if data:
+            self._keep(data)
+        return piece
+
+    def _keep(self, data: bytes) -> None:
+        self.kept += len(data)
+        if self.guard.check(data) < len(data):
+            raise hiredis.ProtocolError("too many elements")
+        self.reader.feed(data)
+
+    def answer(self) -> Any:
+        """The answer at hand, or NOTHING while it is not whole."""
+        found = self.reader.gets() if not self.left else NOTHING
+        if found is not NOTHING:
+            self.head, self.size, self.kept = b"", 0, 0
+        return found
+
+    def has_data(self) -> bool:
+        """Whether more has come than the answer."""
+        return bool(self.reader.has_data())
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,34 @@
+"""An answer that has begun, with no sockets."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from mulleinhall.interface import Cancel, Outcome, StreamStarted, Timer
+from mulleinhall.logic import COPIES, COPY
+from tests.conftest import SETTINGS, Play, sends
+
+
+def test_a_long_answer_does_not_count_against_its_server() -> None:
+    play = Play()
+    [send] = sends(play.ask())
+    server = play.gateway.fleet.servers[send.backend]
+    play.at(0.05, StreamStarted(send.id, 0, send.backend, 0.05))
+    wait, done = server.wait, play.gateway.fleet.done
+    play.now += 60.0
+    assert not server.stalled(play.now, 0.05) and server.oldest(play.now) == 0.0
+    play.end(send, after=1.0)
+    assert (server.wait, play.gateway.fleet.done) == (wait, done)
+    assert not play.gateway.jobs and not play.gateway.out
+
+
+def test_the_other_attempt_is_ended_when_an_answer_begins() -> None:
+    play = Play(replace(SETTINGS, second_copies=True, cancel=True))
+    play.gateway.retries.level = 5.0
+    play.gateway.copy_odds = 1.0
+    [first] = sends(play.ask())
+    [second] = sends(play.at(COPY, Timer(COPIES)))
+    assert play.at(0.1, StreamStarted(second.id, 1, second.backend, 0.1)) == [Cancel(first.id, 0)]
+    assert not sends(play.end(first, Outcome.CANCELLED, attempt=0))
+    assert not sends(play.end(second, Outcome.RESET, attempt=1, finished=True))
+    assert not play.gateway.jobs
