Start a slice with one request at least, as the design has it

A slice began at its share of the burst, so that one below a request refused its customer until it had filled: with 14 ingresses an ensemble got its first request after 11 s or more.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -59,10 +59,11 @@
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, name: str, plan: api.Plan, spread: int, now: float, age: float) -> None:
+    def __init__(self, name: str, plan: api.Plan, spread: int, units: float, now: float, age: float) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, spread, now
         share, burst = plan.rate / self.spread, plan.burst / self.spread
-        self.slice = Bucket(share, burst, burst, now)
+        # Danger: a slice that starts below one request refuses a customer whatever the load.
+        self.slice = Bucket(share, burst, max(burst, units), now)
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
         self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
@@ -451,7 +452,7 @@
         fleet.done, fleet.done_at = estate.done, now
         for known in estate.customers:
             if known.plan in self.plans:
-                customer = self._customer(now, known.customer, self.plans[known.plan], known.spread)
+                customer = self._customer(now, known.customer, self.plans[known.plan], known.spread, 0.0)
                 customer.slice.level, customer.ceiling.level = known.slice_level, known.ceiling_level
                 customer.elsewhere = known.out
         for state in estate.backends:
@@ -470,7 +471,7 @@
         """Danger: buckets that do not see what the other process takes allow it twice."""
         if event.plan not in self.plans:
             return
-        customer = self._customer(now, event.customer, self.plans[event.plan], event.spread)
+        customer = self._customer(now, event.customer, self.plans[event.plan], event.spread, event.units)
         customer.elsewhere = max(0, customer.elsewhere + event.out)
         if event.units:
             customer.slice.fits(now, 0.0)
@@ -489,19 +490,19 @@
 
     # Admission
 
-    def _customer(self, now: float, name: str, plan: api.Plan, spread: int) -> Customer:
+    def _customer(self, now: float, name: str, plan: api.Plan, spread: int, units: float) -> Customer:
         customer, spread = self.customers.get(name), max(1, spread)
         if customer is not None and customer.spread != spread:
             customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
             age = now - (self.born or 0.0)
-            customer = self.customers[name] = Customer(name, plan, spread, now, age)
+            customer = self.customers[name] = Customer(name, plan, spread, units, now, age)
         customer.seen = now
         return customer
 
     def _request(self, now: float, event: api.Request) -> None:
         plan, cls = self.plans[event.plan], self.classes[event.request_class]
-        customer = self._customer(now, event.customer, plan, event.spread)
+        customer = self._customer(now, event.customer, plan, event.spread, event.units)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
         # has left tells when it began, unless its wait is cut to that of a first try.
