--- a/mulleinhall/net/budget.py
+++ b/mulleinhall/net/budget.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 USABLE = 0.8  # of the limit: allocators hold more than is in use
-PROGRAM = 30 << 20  # bytes of a process that holds nothing
+PROGRAM = 20 << 20  # bytes of a process that holds nothing
 LEAST = 2 << 20  # bytes, however little the limit leaves
 LARGEST_WINDOW, LEAST_WINDOW = 64 << 10, 2 << 10  # bytes of a long value that are under way
 
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -9,9 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiohttp
-
 from mulleinhall.interface import Backend, ListKind, Readiness
+from mulleinhall.net.http import HttpConnection
 
 log = logging.getLogger(__name__)
 
@@ -73,48 +72,48 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the agent is sought at `address`, at once and for the whole list."""
-        self.url = f"http://{address[0]}:{address[1]}/api/targets"
+        self.address = address
         self.version: int | None = None  # of the list that the agent gave; None: ask for all of it
         if self.asking is not None:
             self.asking.cancel()
 
     async def run(self) -> None:
-        connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=60.0)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            try:
-                while True:
-                    self.asking = asyncio.create_task(self._follow(session))
-                    await asyncio.wait({self.asking})  # until a move cancels it
-            finally:
-                if self.asking is not None:
-                    self.asking.cancel()
-                    await asyncio.wait({self.asking})
-
-    async def _follow(self, session: aiohttp.ClientSession) -> None:
+        try:
+            while True:
+                self.asking = asyncio.create_task(self._follow(HttpConnection(self.address)))
+                await asyncio.wait({self.asking})  # until a move cancels it
+        finally:
+            if self.asking is not None:
+                self.asking.cancel()
+                await asyncio.wait({self.asking})
+
+    async def _follow(self, agent: HttpConnection) -> None:
         """Asks one agent again and again, until it is cancelled."""
         failures = 0
-        while True:
-            try:
-                await self._ask(session)
-                failures = 0
-            except Exception as error:
-                # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
-                # what is done with a list: the last one is kept, tries are spaced, and the next asks for
-                # the whole list.
-                if failures in (0, 10, 100, 1000):
-                    log.warning("discovery: %s: %s", type(error).__name__, error)
-                self.version = None
-                await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
-                failures += 1
-
-    async def _ask(self, session: aiohttp.ClientSession) -> None:
+        try:
+            while True:
+                try:
+                    await self._ask(agent)
+                    failures = 0
+                except Exception as error:
+                    # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
+                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
+                    # the whole list.
+                    if failures in (0, 10, 100, 1000):
+                        log.warning("discovery: %s: %s", type(error).__name__, error)
+                    self.version = None
+                    await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
+                    failures += 1
+        finally:
+            agent.close()
+
+    async def _ask(self, agent: HttpConnection) -> None:
         query, limit = "", ASK_TIMEOUT
         if self.version is not None:
             query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + GRACE
-        async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
-            if answer.status != 200:
-                raise ValueError(f"status {answer.status}")
-            listing = read_listing(json.loads(await answer.read()))
+        async with asyncio.timeout(limit):
+            body = await agent.get("/api/targets" + query)
+        listing = read_listing(json.loads(body))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
