--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -5,19 +5,21 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from mulleinhall.interface import Backend, ListKind, Readiness
-from mulleinhall.net.http import HttpConnection
+from mulleinhall.net.http import HttpConnection, HttpError
 
 log = logging.getLogger(__name__)
 
 WAIT_MS = 20_000  # of a watch: what is new comes at once; a silent agent is given up after this
 GRACE = 2.0  # s: an agent answers at once, or once the wait is over
-ASK_TIMEOUT = 2.0  # s for a call that doesn't wait
-PAUSES = (0.05, 0.1, 0.2, 0.5, 1.0)  # s between tries while the agent is gone
+FIRST_WAIT_MS = 4_000  # of the first watch, and of one after a failure: a lost call is noticed sooner
+ASK_TIMEOUT = 6.0  # s for a call that doesn't wait: so long the news counts as not told
+PAUSE, LONGEST_PAUSE = 0.1, 2.0  # s between tries while the agent fails, on the mean: doubled each time
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,15 +67,18 @@
 class Discovery:
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
-    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None]) -> None:
-        self.told = told
+    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None], version: int,
+                 rng: random.Random) -> None:
+        self.told, self.rng = told, rng
         self.asking: asyncio.Task[None] | None = None  # the call or the pause that is on
-        self.move(address)
+        self.address, self.settled = address, False  # `settled`: the last call went well
+        # Of the list that is held: what changed since is enough; None asks for all of it.
+        self.version: int | None = version or None
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the agent is sought at `address`, at once and for the whole list."""
         self.address = address
-        self.version: int | None = None  # of the list that the agent gave; None: ask for all of it
+        self.version, self.settled = None, False
         if self.asking is not None:
             self.asking.cancel()
 
@@ -97,12 +102,16 @@
                     failures = 0
                 except Exception as error:
                     # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
-                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
-                    # the whole list.
+                    # what is done with a list: the last one is kept, and tries are spaced, each ingress by
+                    # draws of its own, for discovery may be short of room.  What made no sense is followed
+                    # by a call for the whole list.
                     if failures in (0, 10, 100, 1000):
                         log.warning("discovery: %s: %s", type(error).__name__, error)
-                    self.version = None
-                    await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
+                    if not isinstance(error, OSError | HttpError):  # a TimeoutError is an OSError
+                        self.version = None
+                    self.settled = False
+                    pause = min(LONGEST_PAUSE, PAUSE * 2 ** min(failures, 8))
+                    await asyncio.sleep(pause * self.rng.uniform(0.5, 1.5))
                     failures += 1
         finally:
             agent.close()
@@ -110,14 +119,15 @@
     async def _ask(self, agent: HttpConnection) -> None:
         query, limit = "", ASK_TIMEOUT
         if self.version is not None:
-            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + GRACE
+            wait = WAIT_MS if self.settled else FIRST_WAIT_MS
+            query, limit = f"?after={self.version}&wait_ms={wait}", wait / 1000 + GRACE
         async with asyncio.timeout(limit):
             body = await agent.get("/api/targets" + query)
         listing = read_listing(json.loads(body))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
-        self.version = listing.version
+        self.version, self.settled = listing.version, True
         if listing.full:
             self.told(ListKind.REPLACE, listing)
         elif listing.backends:
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -38,9 +38,10 @@
         try:
             if message["form"] != FORM:
                 raise ValueError(f"form {message['form']!r}")
-            self.listing = Listing(0, True, tuple(api.Backend(**row | {"readiness": api.Readiness(
-                row["readiness"])}) for row in message["backends"]),
-                {name: (host, port) for name, (host, port) in message["addresses"].items()})
+            infos = (api.Backend(**row | {"readiness": api.Readiness(row["readiness"])})
+                     for row in message["backends"])
+            self.listing = Listing(int(message["version"]), True, tuple(infos), {
+                name: (host, port) for name, (host, port) in message["addresses"].items()})
             self.estate = read_estate(message["estate"])
         except (KeyError, TypeError, ValueError) as error:
             raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
@@ -57,11 +58,11 @@
         tuple(api.BackendState(*state) for state in row["backends"]))
 
 
-def will(infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
+def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
          estate: api.Estate) -> dict[str, Any]:
     """The first message to a process that takes over."""
     return {
-        "form": FORM, "addresses": addresses,
+        "form": FORM, "version": version, "addresses": addresses,
         "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
                      if info.id in addresses],
         "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 import socket
 from collections import deque
 from collections.abc import Mapping
@@ -74,7 +75,8 @@
                                  self.budget)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
-        self.discovery = Discovery(config.discovery, self.listed)
+        self.discovery = Discovery(config.discovery, self.listed, taken.listing.version if taken else
+                                   config.known.version, random.Random(config.seed))
         self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock,
                                taken.listener if taken else None)
         self.taken = taken
@@ -167,7 +169,8 @@
         """What one that comes after this must have."""
         infos = [s.info for s in self.gateway.fleet.servers.values()]
         return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
-                will(infos, self.backends.addresses(), self.gateway.estate(self.clock())))
+                will(self.discovery.version or 0, infos, self.backends.addresses(),
+                     self.gateway.estate(self.clock())))
 
     def twins_changed(self) -> None:
         assert self.handover is not None
