--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -2,7 +2,7 @@
 
 The types, settings, events and actions are those of `mulleinhall/interface.py`.
 
-The ordinary path is the sliced token bucket of docs/design.md: a bucket for each customer, fed 1/count
+The ordinary path is the sliced token bucket of docs/design.md: a bucket for each customer, fed a part
 of the quota; what does not fit is refused at once.  All else departs from that or is left open by it.
 """
 
@@ -15,6 +15,7 @@
 
 import mulleinhall.interface as api
 
+EVEN, UNEVEN = 4, 0.4  # up to so many gateways a slice fills at an even part; beyond, a power of them faster
 IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
 SMOOTH = 0.15  # weight of a new sample in a running mean: about the last dozen count
 BUSY = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
@@ -59,11 +60,11 @@
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, name: str, plan: api.Plan, spread: int, units: float, now: float, age: float) -> None:
+    def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, age: float) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, spread, now
-        share, burst = plan.rate / self.spread, plan.burst / self.spread
-        # Danger: a slice that starts below one request refuses a customer whatever the load.
-        self.slice = Bucket(share, burst, max(burst, units), now)
+        self.most = most
+        rate, burst = self.sizes()
+        self.slice = Bucket(rate, burst, burst, now)
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
                               min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
         self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
@@ -71,14 +72,23 @@
 
     def resize(self, now: float, spread: int) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
-        part = self.spread / spread
-        self.spread = spread
         for bucket in (self.slice, self.ceiling):
             bucket.fits(now, 0.0)
-            bucket.rate, bucket.cap = bucket.rate * part, bucket.cap * part
+        self.spread = spread
+        self.slice.rate, self.slice.cap = self.sizes()
+        self.ceiling.rate = self.plan.ceiling_rate / spread
+        self.ceiling.cap = self.plan.ceiling_burst / spread
+        for bucket in (self.slice, self.ceiling):
             bucket.level = min(bucket.level, bucket.cap)
         self.open_limit = max(1, int(self.plan.open_limit / self.spread))
 
+    def sizes(self) -> tuple[float, float]:
+        """The slice: an even part of the quota, and room for one request beside.  Danger: requests come in
+        bunches and unevenly, the more so the fewer of them a gateway sees; an even part that holds less than
+        a few requests refuses a customer that stays well inside its quota."""
+        even = max(1.0, (self.spread / EVEN) ** UNEVEN) / self.spread
+        return self.plan.rate * even, min(self.plan.burst, self.plan.burst / self.spread + self.most)
+
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
         return (now - self.seen > IDLE and not self.open and not self.elsewhere
@@ -452,7 +462,7 @@
         fleet.done, fleet.done_at = estate.done, now
         for known in estate.customers:
             if known.plan in self.plans:
-                customer = self._customer(now, known.customer, self.plans[known.plan], known.spread, 0.0)
+                customer = self._customer(now, known.customer, self.plans[known.plan], known.spread)
                 customer.slice.level, customer.ceiling.level = known.slice_level, known.ceiling_level
                 customer.elsewhere = known.out
         for state in estate.backends:
@@ -471,7 +481,7 @@
         """Danger: buckets that do not see what the other process takes allow it twice."""
         if event.plan not in self.plans:
             return
-        customer = self._customer(now, event.customer, self.plans[event.plan], event.spread, event.units)
+        customer = self._customer(now, event.customer, self.plans[event.plan], event.spread)
         customer.elsewhere = max(0, customer.elsewhere + event.out)
         if event.units:
             customer.slice.fits(now, 0.0)
@@ -490,19 +500,20 @@
 
     # Admission
 
-    def _customer(self, now: float, name: str, plan: api.Plan, spread: int, units: float) -> Customer:
+    def _customer(self, now: float, name: str, plan: api.Plan, spread: int) -> Customer:
         customer, spread = self.customers.get(name), max(1, spread)
         if customer is not None and customer.spread != spread:
             customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
             age = now - (self.born or 0.0)
-            customer = self.customers[name] = Customer(name, plan, spread, units, now, age)
+            most = self.settings.most_units
+            customer = self.customers[name] = Customer(name, plan, spread, most, now, age)
         customer.seen = now
         return customer
 
     def _request(self, now: float, event: api.Request) -> None:
         plan, cls = self.plans[event.plan], self.classes[event.request_class]
-        customer = self._customer(now, event.customer, plan, event.spread, event.units)
+        customer = self._customer(now, event.customer, plan, event.spread)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
         # has left tells when it began, unless its wait is cut to that of a first try.
