--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -176,7 +176,8 @@
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client asks.  `time_left` is how long it waits; `spread` gateways from number `first`
-    on are those that its customer may use.  `room`: the process can hold one more."""
+    on are those that its customer may use.  `room`: the process can hold one more.  `pieces`: a long
+    value of it is still to come, and is passed on as it comes."""
 
     id: str
     request_class: str
@@ -189,6 +190,22 @@
     repeat: bool = False
     write: bool = False
     room: bool = True
+    pieces: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UploadStarted:
+    """A piece of the request's value has gone to a backend: no other can get it any more."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Uploaded:
+    """The request's value has come whole: its time runs from now."""
+
+    id: str
+    time_left: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -414,7 +431,8 @@
     text: str
 
 
-Event: TypeAlias = (BackendsChanged | Request | StreamStarted | AttemptEnded | Abandoned | Timer
-                    | Drain | Twins | Spent | Estate | ProbeEnded | PeerMessage | CounterReply)
+Event: TypeAlias = (BackendsChanged | Request | UploadStarted | Uploaded | StreamStarted | AttemptEnded
+                    | Abandoned | Timer | Drain | Twins | Spent | Estate | ProbeEnded | PeerMessage
+                    | CounterReply)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
                      | Subscribe | FetchBackends | Welcome | LetGo | TellTwins | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -125,6 +125,7 @@
         self.taken = False  # its first attempt was sent
         self.over = False
         self.streaming: int | None = None  # the attempt whose answer has begun
+        self.pieces, self.spent = event.pieces, False  # its value comes in pieces; some of it is gone
         self.late = False  # it cannot be answered within its aim any more
         self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
         self.out: dict[int, Server] = {}
@@ -138,6 +139,8 @@
         """Danger: an effect that happens twice.  One place decides whether one more attempt may go."""
         if len(self.tries) >= settings.max_attempts or len(self.out) > settings.second_copies:
             return False
+        if self.pieces and (self.spent or self.out):
+            return False
         if self.cls.semantics is api.Semantics.SAFE or not self.maybe:
             return True
         if self.cls.semantics is api.Semantics.UNSAFE:
@@ -419,6 +422,12 @@
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
+            case api.UploadStarted(id=rid):
+                if job := self.jobs.get(rid):
+                    job.spent = True
+            case api.Uploaded(id=rid, time_left=left):
+                if job := self.jobs.get(rid):
+                    job.deadline = now + left
             case api.StreamStarted():
                 self._started(now, event)
         return self.actions
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -30,15 +30,17 @@
 class Attempt:
     """One attempt at one backend, from the module's `Send` to its outcome."""
 
-    __slots__ = ("backend", "connection", "deadline", "ended", "number", "parts", "request", "sent", "timer")
+    __slots__ = ("backend", "connection", "deadline", "ended", "number", "parts", "request", "sent", "timer",
+                 "whole")
 
     def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
-                 parts: tuple[bytes, bytes, bytes]) -> None:
+                 parts: tuple[bytes, bytes, bytes], whole: bool = True) -> None:
         self.request, self.number, self.backend, self.sent = request, number, backend, sent
         self.deadline, self.parts = deadline, parts
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
+        self.whole = whole  # else a long value follows in pieces, and the time-out runs from the last
 
     def pause(self) -> None:
         """Back-pressure: no more of the value is read for now."""
@@ -51,9 +53,10 @@
 
     def command(self, now: float) -> bytes:
         """The client's command with the time that is left in place of its own."""
-        before, names, after = self.parts
-        left = b"d=%d" % max(1, int((self.deadline - now) * 1000))
-        text = b",".join(left if part.startswith(b"d=") else part for part in names.split(b","))
+        before, text, after = self.parts
+        if self.whole:
+            left = b"d=%d" % max(1, int((self.deadline - now) * 1000))
+            text = b",".join(left if part.startswith(b"d=") else part for part in text.split(b","))
         return b"%b$%d\r\n%b%b" % (before, len(text), text, after)
 
 
@@ -79,6 +82,7 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.idle_since, self.open = 0.0, True
+        self.choked = False  # the backend is slow to read
         self.heard, self.paused = 0.0, False  # when a piece of a long value came last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -121,7 +125,7 @@
                 self.pool.end(attempt, Outcome.ERROR)
             return
         self.attempt = None
-        if self.answers.has_data():
+        if self.answers.has_data() or not attempt.whole:
             self.close()
         else:
             self.pool.release(self)
@@ -138,7 +142,15 @@
         if attempt is not None:
             # Guards against an effect that happens twice: once any of it was handed to the system, all of
             # it may have come and run.
-            self.pool.end(attempt, Outcome.RESET)
+            self.pool.end(attempt, Outcome.RESET if attempt.whole else Outcome.CONNECT_FAILED)
+
+    def pause_writing(self) -> None:
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        if self.attempt is not None and not self.attempt.whole:
+            self.pool.writable(self.attempt)
 
     def current(self) -> bool:
         """Guards against a backend that has moved: what answers at the old address is another."""
@@ -206,9 +218,9 @@
 
     def __init__(self, most: int, connect_timeout: float, idle_time: float, grace: float, clock: Clock,
                  ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None],
-                 piece: Callable[[Attempt, bytes, int, bool], None], figures: Figures,
-                 budget: Budget) -> None:
-        self.figures, self.budget, self.piece = figures, budget, piece
+                 piece: Callable[[Attempt, bytes, int, bool], None],
+                 writable: Callable[[Attempt], None], figures: Figures, budget: Budget) -> None:
+        self.figures, self.budget, self.piece, self.writable = figures, budget, piece, writable
         self.buffer = memoryview(bytearray(LARGEST_WINDOW))  # what was read is taken out before the next read
         self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
@@ -265,7 +277,8 @@
         if target is None or left <= 0 or self._closed(target):
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
-        attempt.timer = self.loop.call_later(left, self._overdue, attempt)
+        if attempt.whole:
+            attempt.timer = self.loop.call_later(left, self._overdue, attempt)
         while target.idle:
             connection = target.idle.pop()
             if not connection.stale():
@@ -315,7 +328,23 @@
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
         connection.transport.write(attempt.command(self.clock()))
-        self.figures.forwards += 1
+        if attempt.whole:
+            self.figures.forwards += 1
+        else:
+            self.writable(attempt)
+
+    def write_on(self, attempt: Attempt, piece: bytes, last: float | None) -> bool:
+        """A piece of a long value; with the last one comes the time when the attempt is given up.  Tells
+        whether the backend takes more."""
+        connection = attempt.connection
+        if connection is None or connection.transport is None:
+            return False
+        connection.transport.write(piece)
+        if last is not None:
+            attempt.whole, attempt.deadline = True, last
+            attempt.timer = self.loop.call_later(max(0.0, last - self.clock()), self._overdue, attempt)
+            self.figures.forwards += 1
+        return not connection.choked
 
     def resize(self, most: int) -> None:
         self.most = most
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -12,19 +12,20 @@
 import hiredis
 
 from mulleinhall.interface import RequestClass, Semantics, Settings
+from mulleinhall.net.budget import LARGEST_WINDOW, Budget
 from mulleinhall.net.clock import Clock
-from mulleinhall.net.resp import FrameGuard
+from mulleinhall.net.resp import LARGEST, LONG, CommandFrames
 
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 64  # commands of a connection that wait for an answer; more are not read
-LARGEST = 64 * 1024  # bytes of a value
-LONGEST_COMMAND = 256 * 1024  # bytes that come without making a whole command
+LONGEST_COMMAND = 256 * 1024  # bytes that come without making a whole command, beside a long value
 MOST_WORDS = 64  # of a command
 MOST_CUSTOMERS = 2 ** 33
 LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
 MOST_BAD = 16  # malformed commands on a connection; one more ends it
 STALLED = 10.0  # s in which a client reads nothing of what waits for it: longer than between two pieces
+PAUSES = 2.5  # s between two pieces of a long value that a client sends
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 BACKLOG = 512
@@ -53,12 +54,14 @@
     first: int
     repeat: bool
     write: bool
+    size: int = 0  # of a long value in place of the last word; it follows in pieces
 
     def parts(self) -> tuple[bytes, bytes, bytes]:
         """The command as RESP in three pieces; the middle one is the bare list of names and values."""
         verb, customer, request, names, *body = self.words
         before = b"*%d\r\n%b%b%b" % (len(self.words), bulk(verb), bulk(customer), bulk(request))
-        return before, names, b"\r\n" + b"".join(map(bulk, body))
+        rest = b"$%d\r\n" % self.size if self.size else b"".join(map(bulk, body))
+        return before, names, b"\r\n" + rest
 
 
 def bulk(value: bytes) -> bytes:
@@ -72,12 +75,14 @@
         self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
 
-    def read(self, verb: bytes, words: list[bytes]) -> Command:
+    def read(self, verb: bytes, words: list[bytes], size: int = 0) -> Command:
         write = verb == b"API.WRITE"
         if not (len(words) == 4 or (write and len(words) == 5)):
             raise BadCommand("wrong number of arguments")
-        if any(len(word) > LARGEST for word in words):
+        if size > LARGEST or any(len(word) > LONG for word in words):
             raise BadCommand("value too large")
+        if size and len(words) < 5:
+            raise BadCommand("a head too large")
         customer = words[1]
         try:
             known = len(customer) == 16 and int(customer, 16) < MOST_CUSTOMERS and customer.isalnum()
@@ -113,7 +118,7 @@
         return Command(words, customer.decode(), names["c"], names["t"],
                        _whole(names, "d", LONGEST_WAIT) / 1000, units,
                        max(1, _whole(names, "spread", 1 << 20, 1)), _whole(names, "first", 1 << 20, 0),
-                       names.get("r") == "1", write)
+                       names.get("r") == "1", write, size)
 
 
 def _whole(names: dict[str, str], key: str, most: int, default: int = 0) -> int:
@@ -128,6 +133,8 @@
 
     def request(self, slot: Slot, command: Command, arrived: float) -> None: ...
 
+    def body(self, slot: Slot, piece: bytes, whole: bool, arrived: float) -> None: ...
+
     def hung_up(self, slot: Slot) -> None: ...
 
 
@@ -178,12 +185,16 @@
             self.client.flush()
 
 
-class Client(asyncio.Protocol):
+class Client(asyncio.BufferedProtocol):
     """One connection of a client."""
 
     def __init__(self, server: Clients, sock: socket.socket) -> None:
         self.server, self.sock = server, sock
-        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), FrameGuard(MOST_WORDS)
+        self.reader, self.guard = hiredis.Reader(notEnoughData=NOTHING), CommandFrames(MOST_WORDS)
+        self.body: Slot | None = None  # of the request whose long value is coming
+        self.left, self.tail = 0, b""  # bytes of it that are still to come, and the last that came
+        self.held = False  # nobody takes more of it for now
+        self.behind = b""  # what came behind a command that is not taken yet
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
@@ -198,25 +209,71 @@
             # Guards against a connection accepted late that would stay: its request may be on the way.
             self.server.loop.call_later(LAST_CHANCE, self._late)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.server.buffer[:self.server.budget.window()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.server.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self.ending:
             return
         self.arrived = self.used = self.server.clock()
+        self._take(self.behind + data if self.behind else data)
+
+    def _take(self, data: bytes) -> None:
+        self.behind = b""
+        while data and not self.ending:
+            if self.body is not None:
+                data = self._piece(self.body, data)
+            elif self.guard.long:
+                self.behind = data  # its command waits for those before
+                return
+            else:
+                data = self._read(data)
+
+    def _read(self, data: bytes) -> bytes:
+        """Takes in commands; what is left once a long value begins."""
         self.unread += len(data)
         whole = self.guard.whole()
-        safe = self.guard.check(data)
+        safe, behind = self.guard.cut(data)
         if not self.guard.inside():
             self.due_from = None
         elif self.due_from is None or self.guard.whole() > whole:
             self.due_from = self.arrived
         try:
-            self.reader.feed(data[:safe])
+            self.reader.feed(safe)
         except (hiredis.HiredisError, MemoryError) as error:
             self._broken(str(error))
-            return
+            return b""
         self._parse()
-        if safe < len(data) and not self.ending:
+        if self.guard.fault and not self.ending:
             self._broken("too many words")
+        return behind
+
+    def _piece(self, slot: Slot, data: bytes) -> bytes:
+        """Passes on what belongs to the long value at hand; what is left comes after it."""
+        piece = data[:self.left]
+        self.left -= len(piece)
+        self.tail = (self.tail + piece)[-2:]
+        if not self.left:
+            self.body = None
+            if self.tail != b"\r\n":
+                self.server.note("a value that does not end where it said")
+                self.ending = True
+                self.end()
+                return b""
+            self.held = False
+        self.server.handler.body(slot, piece, not self.left, self.arrived)
+        if not self.left and self.server.letting_go is not None:
+            self.let_go()
+        self._pace()
+        return data[len(piece):]
+
+    def hold(self, on: bool) -> None:
+        """Back-pressure: whether the long value at hand is read no further."""
+        self.held = on and self.body is not None
+        self._pace()
 
     def _parse(self) -> None:
         while self.transport is not None and not self.ending and not self.choked:
@@ -236,10 +293,20 @@
             if not isinstance(words, list):
                 self._broken("a command is an array of bulk strings")
                 return
-            self._command(words)
+            size = 0
+            if self.guard.long and not self.reader.has_data():
+                size, self.guard.long = self.guard.long, 0
+            self._command(words, size)
         self._pace()
 
-    def _command(self, words: list[Any]) -> None:
+    def _go_on(self) -> None:
+        """Reads on after a pause."""
+        self._parse()
+        if self.behind:
+            self._take(self.behind)
+            self._pace()
+
+    def _command(self, words: list[Any], size: int) -> None:
         slot = Slot(self)
         self.slots.append(slot)
         try:
@@ -247,7 +314,12 @@
                 raise BadCommand("a command is an array of bulk strings")
             verb = words[0].upper()
             if verb in (b"API.READ", b"API.WRITE"):
-                self.server.handler.request(slot, self.server.commands.read(verb, words), self.arrived)
+                command = self.server.commands.read(verb, words, size)
+                if size:
+                    self.body, self.left, self.tail = slot, size + 2, b""
+                self.server.handler.request(slot, command, self.arrived)
+            elif size:
+                raise BadCommand("value too large")
             elif verb == b"PING" and len(words) <= 2:
                 slot.answer(NO if not self.server.welcome else bulk(words[1]) if len(words) == 2 else PONG)
             elif verb in (b"CLIENT", b"SELECT"):
@@ -256,6 +328,7 @@
                 raise BadCommand("unknown command")
         except BadCommand as error:
             self.server.note(str(error))
+            self.ending = size > 0  # its long value is not read
             slot.answer(b"-ERR %b\r\n" % str(error).encode())
             self.bad += 1
             if self.bad > MOST_BAD:
@@ -285,14 +358,16 @@
         self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.used = self.server.clock()
         self._resume()
-        if not self.slots and (self.ending or self.server.letting_go is not None):
+        if not self.slots and self.body is None and (self.ending or self.server.letting_go is not None):
             self.end()
         elif self.full and len(self.slots) <= MOST_PIPELINED // 2:
             self.full = False
-            self.server.loop.call_soon(self._parse)
+            self.server.loop.call_soon(self._go_on)
 
     def let_go(self) -> None:
         """Ends the connection as it falls idle; what is sent behind an open request is not taken any more."""
+        if self.body is not None:
+            return  # until its value is whole
         if self.slots:
             self.ending = True
         elif not self.guard.inside() and not self._unread():
@@ -321,6 +396,9 @@
         elif now - self.read_at > STALLED and self.transport is not None:
             self.transport.abort()  # it reads nothing of what waits for it
             return
+        if self.body is not None and not self.held and now - self.arrived > PAUSES:
+            self.end()  # with a value that is not whole
+            return
         if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
             return
         if self.guard.inside():
@@ -337,7 +415,7 @@
         """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.full or self.choked:
+        if self.full or self.choked or self.held or self.behind:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -354,7 +432,7 @@
     def resume_writing(self) -> None:
         self.choked = False
         self._resume()
-        self.server.loop.call_soon(self._parse)
+        self.server.loop.call_soon(self._go_on)
 
     def eof_received(self) -> None:
         self.gone()
@@ -366,6 +444,7 @@
     def gone(self) -> None:
         """The client went away: nobody waits for what is open."""
         self.transport, slots, self.slots = None, self.slots, deque()
+        self.body = None
         for slot in slots:
             if slot.data is None:
                 slot.data = b""
@@ -376,7 +455,8 @@
     """The listener and all connections of clients, no more than `most`."""
 
     def __init__(self, address: tuple[str, int], most: int, settings: Settings, handler: Handler,
-                 clock: Clock, listener: socket.socket | None = None) -> None:
+                 clock: Clock, budget: Budget, listener: socket.socket | None = None) -> None:
+        self.budget, self.buffer = budget, memoryview(bytearray(LARGEST_WINDOW))
         self.loop, self.clock, self.most, self.handler = asyncio.get_running_loop(), clock, most, handler
         self.commands = CommandReader(settings)
         self.connections: set[Client] = set()
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -40,10 +40,22 @@
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
 
+class Upload:
+    """The long value of a request that its client still sends."""
+
+    __slots__ = ("attempt", "begun", "pieces", "whole")
+
+    def __init__(self) -> None:
+        self.pieces: list[bytes] = []  # those that no backend has
+        self.attempt: Attempt | None = None  # the one that takes them
+        self.begun, self.whole = False, False
+
+
 class Open:
     """An open request."""
 
-    __slots__ = ("answered", "command", "deadline", "key", "out", "passing", "size", "slot", "timer", "tries")
+    __slots__ = ("answered", "command", "deadline", "key", "out", "passing", "size", "slot", "timer", "tries",
+                 "upload")
 
     def __init__(self, key: str, slot: Slot, command: Command, deadline: float) -> None:
         self.key, self.slot, self.command, self.deadline = key, slot, command, deadline
@@ -52,6 +64,12 @@
         self.out: set[Attempt] = set()
         self.passing: Attempt | None = None  # the one whose value the client gets in pieces
         self.timer: asyncio.TimerHandle | None = None
+        self.upload = Upload() if command.size else None
+
+
+def _wait(command: Command) -> float:
+    """What the module may take: a fixed margin less, so that it sees the same wait as the client named."""
+    return command.wait - min(MARGIN, command.wait / 10)
 
 
 class Ingress:
@@ -71,14 +89,14 @@
         self.running = False
         self.unsupported: set[str] = set()
         self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
-                                 self.settings.drain_grace, self.clock, self.ended, self.piece, self.figures,
-                                 self.budget)
+                                 self.settings.drain_grace, self.clock, self.ended, self.piece, self.writable,
+                                 self.figures, self.budget)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.discovery = Discovery(config.discovery, self.listed, taken.listing.version if taken else
                                    config.known.version, random.Random(config.seed))
         self.clients = Clients(config.listen, config.client_sockets, self.settings, self, self.clock,
-                               taken.listener if taken else None)
+                               self.budget, taken.listener if taken else None)
         self.taken = taken
         self.handover = None if path is None else Handover(path, self)
         self.teller: asyncio.TimerHandle | None = None
@@ -223,12 +241,51 @@
         request = self.open[key] = Open(key, slot, command, arrived + command.wait)
         room = len(self.open) <= self.config.most_open and self.budget.room(request.size)
         self.budget.held += request.size
+        if request.upload is None:
+            self._time(request)
+        else:
+            self.budget.uploads += 1
+        self.feed(api.Request(
+            key, command.request_class, command.plan, command.customer, _wait(command), command.units,
+            command.spread, command.first, command.repeat, command.write, room, request.upload is not None))
+
+    def _time(self, request: Open) -> None:
         left = request.deadline - self.clock()
         request.timer = self.loop.call_later(max(0.0, left - LAST_MARGIN), self._expired, request)
-        # A fixed margin, so that the module sees the same wait as the client named.
-        wait = command.wait - min(MARGIN, command.wait / 10)
-        self.feed(api.Request(key, command.request_class, command.plan, command.customer, wait, command.units,
-                              command.spread, command.first, command.repeat, command.write, room))
+
+    def body(self, slot: Slot, piece: bytes, whole: bool, arrived: float) -> None:
+        """A piece of a request's long value."""
+        request = self.open.get(slot.key)
+        if request is None or request.answered or request.upload is None:
+            return  # it is over already: the rest is of no use
+        request.upload.pieces.append(piece)
+        request.upload.whole = whole
+        if whole:
+            request.deadline = arrived + request.command.wait
+            self._time(request)
+            self.feed(api.Uploaded(request.key, _wait(request.command)))
+        self._pass_up(request, request.upload)
+
+    def writable(self, attempt: Attempt) -> None:
+        """The attempt takes pieces of its request's long value."""
+        request = self.open.get(attempt.request)
+        if request is None or request.upload is None or request.answered:
+            self.backends.cancel(attempt)
+            return
+        request.upload.attempt = attempt
+        self._pass_up(request, request.upload)
+
+    def _pass_up(self, request: Open, upload: Upload) -> None:
+        attempt, more = upload.attempt, False
+        if attempt is not None and not attempt.ended:
+            if upload.pieces and not upload.begun:
+                upload.begun = True
+                self.feed(api.UploadStarted(request.key))
+            pieces, upload.pieces = b"".join(upload.pieces), []
+            more = self.backends.write_on(
+                attempt, pieces, request.deadline - LAST_MARGIN if upload.whole else None)
+        if not upload.whole:
+            request.slot.client.hold(not more)
 
     def hung_up(self, slot: Slot) -> None:
         request = self.open.get(slot.key)
@@ -258,6 +315,12 @@
     def _over(self, request: Open, end: End) -> None:
         """The one place where a request ends."""
         request.answered = True
+        if request.upload is not None:
+            self.budget.uploads -= 1
+            request.upload.pieces = []
+            request.slot.client.hold(False)
+            if (attempt := request.upload.attempt) is not None and not attempt.whole:
+                self.backends.cancel(attempt)
         self.figures.ended(request.command.request_class, end)
         if request.timer is not None:
             request.timer.cancel()
@@ -405,7 +468,8 @@
         last = request.deadline - LAST_MARGIN
         attempt = Attempt(
             request.key, number, action.backend, now,
-            min(last, now + action.timeout) if action.timeout else last, request.command.parts())
+            min(last, now + action.timeout) if action.timeout else last, request.command.parts(),
+            request.upload is None)
         request.out.add(attempt)
         self.attempts[request.key, number] = attempt
         self.backends.start(attempt)
--- a/mulleinhall/net/resp.py
+++ b/mulleinhall/net/resp.py
@@ -75,6 +75,37 @@
         return 0
 
 
+class CommandFrames(FrameGuard):
+    """Follows a client's commands ahead of the parser.  Holds back a line that has not ended, and stops at a
+    last word that is long: that one is passed on, and the parser is given an empty one in its place."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__(most)
+        self.long = 0  # bytes of the long word that follows; 0 for none
+        self.fault = False  # what follows can't be parsed
+
+    def cut(self, data: bytes) -> tuple[bytes, bytes]:
+        """What the parser may have, and what comes after the head of a command with a long word."""
+        text, self.rest = self.rest + data, b""
+        at, size = self.skip, len(text)
+        while at < size:
+            end = text.find(b"\r\n", at)
+            if end < 0:
+                self.fault = size - at > LONGEST_LINE
+                self.skip, self.rest = 0, text[at:]
+                return text[:at], b""
+            follows = self._line(text[at:at + 1], text[at + 1:end])
+            if self.claimed > self.most:
+                self.fault = True
+                return text[:at], b""
+            if follows - 2 > LONG and not self.due:
+                self.skip, self.long = 0, follows - 2
+                return text[:at] + b"$0\r\n\r\n", text[end + 2:]
+            at = end + 2 + follows
+        self.skip = at - size
+        return text, b""
+
+
 class AnswerReader:
     """Reads the answers of a backend, one at a time.  A long value in front of one is not kept: `feed` gives
     it in pieces, with the line's end that follows it, and the answer then begins with an empty value."""
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from mulleinhall.interface import Cancel, Outcome, StreamStarted, Timer
+from mulleinhall.interface import Cancel, Outcome, Refuse, StreamStarted, Timer, Uploaded, UploadStarted
 from mulleinhall.logic import COPIES, COPY
-from tests.conftest import SETTINGS, Play, sends
+from tests.conftest import SETTINGS, Play, finals, sends
 
 
 def test_a_long_answer_does_not_count_against_its_server() -> None:
@@ -32,3 +32,28 @@
     assert not sends(play.end(first, Outcome.CANCELLED, attempt=0))
     assert not sends(play.end(second, Outcome.RESET, attempt=1, finished=True))
     assert not play.gateway.jobs
+
+
+def test_a_request_whose_pieces_are_gone_gets_no_other_attempt() -> None:
+    play = Play(replace(SETTINGS, second_copies=True))
+    play.gateway.retries.level = 5.0
+    play.gateway.copy_odds = 1.0
+    [send] = sends(play.ask(pieces=True))
+    assert not sends(play.at(COPY, Timer(COPIES)))  # a copy would want the same pieces
+    [again] = sends(play.end(send, Outcome.CONNECT_FAILED))  # none is gone yet
+    play.at(0.0, UploadStarted(again.id))
+    done = play.end(again, Outcome.CONNECT_FAILED, attempt=1)
+    assert not sends(done) and finals(done) == [Refuse(again.id, 0.5)]
+
+
+def test_the_time_of_a_long_request_runs_from_its_last_byte() -> None:
+    play = Play()
+    [send] = sends(play.ask(pieces=True, time_left=2.0))
+    play.at(5.0, Uploaded(send.id, 2.0))
+    assert play.gateway.jobs[send.id].deadline == play.now + 2.0
+
+
+def test_a_request_without_room_is_refused() -> None:
+    play = Play()
+    assert play.ask(room=False)[-1] == Refuse("r1", 0.5)
+    assert not play.gateway.jobs
