--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -168,6 +168,7 @@
         self.wait = BUSY  # mean answer time as a share of the aim
         self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
+        self.turned_away = 0  # attempts in a row that it turned away
         self.budget = Bucket(0.0, 1.0, level, now)
 
     def state(self) -> api.BackendState:
@@ -209,9 +210,13 @@
         the first sign, broken ones at the second in a row, errors and time-outs when more come in a row;
         each further failure doubles the pause, and one attempt then tries it again."""
         if outcome is api.Outcome.FULL:
+            self.turned_away += 1
             if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
                 self.cut(now, 0.0)
-                self.retry_at = max(self.retry_at, now + patience / 4)
+            if self.wait >= BUSY or self.turned_away > 1:
+                # Danger: one that drains before the list says so turns all away at once and looks idle.
+                pause = patience / 4 * 2.0 ** min(self.turned_away - 1, 4)
+                self.retry_at = max(self.retry_at, now + pause)
             return
         self.failures += 1
         row = self.failures + 1 - FIRST_SIGN.get(outcome, FAILURE_ROW)
@@ -604,7 +609,7 @@
             self._answered(now, job, server, event.attempt, event.latency)
 
     def _answered(self, now: float, job: Job, server: Server, attempt: int, latency: float) -> None:
-        server.failures, server.unreachable = 0, False
+        server.failures, server.turned_away, server.unreachable = 0, 0, False
         server.answered(now, latency, self.fleet.mean(job.cls), job.cls.aim)
         self.fleet.note_done(now, job.cls, latency)
         others = [number for number in job.out if number != attempt]
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -235,3 +235,28 @@
         assert not server.ejected(100.0)
     server.failed(100.0, outcome, 1.0)
     assert server.ejected(100.0) and not server.ejected(100.6)
+
+
+def test_a_server_that_turns_all_away_is_left_alone_longer_and_longer() -> None:
+    """One that drains before the list says so answers at once and looks idle."""
+    server = Server(FLEET[0], 0.0)
+    server.wait = 0.0
+    server.failed(0.0, Outcome.FULL, 1.0)
+    assert not server.ejected(0.0)  # it may be about that request
+    pauses, now = [], 0.0
+    for _ in range(6):
+        server.failed(now, Outcome.FULL, 1.0)
+        pauses.append(server.retry_at - now)
+        assert server.ejected(now)
+        now = server.retry_at
+        assert not server.ejected(now)
+    assert pauses == [0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
+
+
+def test_an_answer_ends_the_row_of_turned_away_attempts() -> None:
+    play = Play(fleet=FLEET[:1])
+    play.gateway.fleet.servers["b0"].wait = 0.0
+    for outcome in (Outcome.FULL, Outcome.OK, Outcome.FULL):
+        [send] = sends(play.ask(1.0))
+        play.end(send, outcome, finished=True)
+    assert not play.gateway.fleet.servers[send.backend].ejected(play.now)
