--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -345,8 +345,9 @@
         slow = max(self.means.values(), default=self.patience)
         healthy = [s for s in usable if not s.stalled(now, slow) and not s.ejected(now)]
         if len(healthy) < MIN_ELIGIBLE * len(usable):
-            # The cause is likely shared.  Danger: one that refuses connections at once would draw all.
-            healthy = [s for s in usable if s in healthy or not s.unreachable]
+            # The cause is likely shared.  Danger: one that refuses connections, or turns all away, at once
+            # would draw all.
+            healthy = [s for s in usable if s in healthy or not (s.unreachable or s.turned_away > 1)]
         best: Server | None = None
         best_load, mean = float("inf"), self.mean(job.cls)
         for server in healthy:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -260,3 +260,17 @@
         [send] = sends(play.ask(1.0))
         play.end(send, outcome, finished=True)
     assert not play.gateway.fleet.servers[send.backend].ejected(play.now)
+
+
+def test_servers_that_turn_all_away_draw_nothing_though_they_are_most() -> None:
+    play = Play()
+    for name in ("b0", "b1", "b2"):
+        server = play.gateway.fleet.servers[name]
+        server.failed(play.now, Outcome.FULL, 1.0)
+        server.failed(play.now, Outcome.FULL, 1.0)
+    chosen = set()
+    for _ in range(8):
+        [send] = sends(play.ask(customer=f"c{play.count}"))
+        chosen.add(send.backend)
+        play.end(send, after=0.01)
+    assert chosen == {"b3"}
