Let the test of a slow server not depend on how wide the system makes a buffer

The system had widened the send buffer until it held the whole value, so the client was never held up. Change: the sockets of that test get a send buffer of a fixed size.

--- a/tests/test_net_upload.py
+++ b/tests/test_net_upload.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 import pytest
 
@@ -114,7 +115,16 @@
     run(body())
 
 
-def test_a_slow_server_holds_up_the_client_and_no_memory() -> None:
+class Narrow(socket.socket):
+    """With a send buffer that the system does not widen until it holds the whole value."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+
+
+def test_a_slow_server_holds_up_the_client_and_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(socket, "socket", Narrow)
     go_on = asyncio.Event()
 
     async def script(_: int, reader: Reader, writer: Writer) -> None:
