Judge servers against the rest, with trials and a probe budget for the whole fleet

Need: with 200 ingresses each sees few requests to a server, so rows of failures say little: one success wiped a row (one failure in five was found by none of ten gateways), a silent server whose attempts were overtaken by copies was not found at all, and a pause shorter than the time between requests spared none.

Change: mulleinhall/health.py (a policy file) holds evidence, the estimate, the states healthy, suspect, ejected and on trial, pauses that grow with relapses, and the probe budget; FAILURE_ROW, FIRST_SIGN and the rows in logic.py are gone. Attempts that fail for want of a descriptor here carry `own`; answers that can't be read are told apart (`spoilt`). A socket that could not be made left its attempt unended and its place taken: both end now. Probes are PINGs on the pool. Figures health.STATE, ejections, probes and odd_reports stand beside the present ones. The state handed over at an upgrade has form 2; form 1 is still taken over.

--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -33,6 +33,7 @@
 
     OK = "ok"
     ERROR = "error"
+    SPOILT = "spoilt"  # an answer that can't be read: it may have run
     FULL = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
@@ -138,6 +139,8 @@
     meter_period: float = 0.0
     settles: bool = False
     most_units: float = 1.0
+    probe_price: float = 0.0
+    reports: tuple[str, ...] = ()  # what a load report holds
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -145,7 +148,7 @@
         if not self.plans:
             raise ValueError("plans: at least one is needed")
         for key in ("number", "answer_slack", "drain_grace", "cold_time", "cold_share", "fall_factor",
-                    "fall_time", "ask_within", "peer_rate", "counter_timeout", "meter_period"):
+                    "fall_time", "ask_within", "peer_rate", "counter_timeout", "meter_period", "probe_price"):
             _check(key, getattr(self, key))
         for key in ("gateways", "max_attempts", "most_units"):
             _check(key, getattr(self, key), 1)
@@ -219,7 +222,8 @@
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """`finished`: the request is over.  `used`: the customer's metered use, 1 + percent of its
-    rate, 0 for none.  `settled`: the true units, 0 for none."""
+    rate, 0 for none.  `settled`: the true units, 0 for none.  `own`: it failed here (for want of a
+    descriptor, say) and tells nothing of the backend."""
 
     id: str
     attempt: int
@@ -230,6 +234,7 @@
     used: int = 0
     settled: float = 0.0
     load: Mapping[str, float] = field(default_factory=dict)
+    own: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,19 +291,37 @@
     out: int
 
 
+@dataclass(frozen=True, slots=True)
+class HealthState:
+    """What is known of a backend's health; `started` tells whose."""
+
+    started: float
+    bad: float
+    good: float
+    recent: float
+    at: float
+    state: str
+    reason: str
+    until: float
+    hold: float
+    relapses: int
+    pause: float
+    well_since: float
+    trial: int
+    turned_away: int
+
+
 @dataclass(frozen=True, slots=True)
 class BackendState:
-    """What is known of a backend."""
+    """What is known of a backend; without `health` where the process before kept it otherwise."""
 
     id: str
     limit: float
     was_cut: bool
     wait: float
     pace: float
-    failures: int
-    unreachable: bool
-    retry_at: float
     budget: float
+    health: HealthState | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -375,6 +398,7 @@
 @dataclass(frozen=True, slots=True)
 class Probe:
     backend: str
+    timeout: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -14,6 +14,7 @@
 from zlib import crc32
 
 import mulleinhall.interface as api
+from mulleinhall.health import TRIALS, Health, Outliers, State
 
 EVEN, UNEVEN = 4, 0.4  # up to so many gateways a slice fills at an even part; beyond, a power of them faster
 IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
@@ -28,15 +29,12 @@
 RETRY_SHARE = 0.15  # further attempts for each first one, on the mean
 COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
 STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
-FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
-# Of these fewer do.  A dead backend refuses what comes after it broke its connections; one that breaks a
-# connection now and then serves all others, and to shun it at each would load the rest.
-FIRST_SIGN = {api.Outcome.CONNECT_FAILED: 1, api.Outcome.RESET: 2}
-MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
+MIN_ELIGIBLE = 0.5  # of the backends: when fewer answer, silence has a cause that all share
 CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
 COPY = 0.5  # of the aim: an attempt out this long gets a second beside it, with time left for an answer
 AMPLE = -0.4  # pressure under which there is room for a second attempt that may not be needed
 WORTHY = 0.75  # of the second attempts were first to answer: then they need no more room than others
+UNANSWERED = (api.Outcome.TIMEOUT, api.Outcome.CANCELLED)
 TURNS_AWAY = 0.5  # s from the first "no" until the front surely sends nothing new
 TICK, DISCOVERY, COPIES, TURNED = 0, 1, 2, 3  # timer tokens
 
@@ -156,28 +154,27 @@
 class Server:
     """One backend: what it holds from here, how it fares, and whether it is cold or leaving."""
 
-    def __init__(self, info: api.Backend, now: float, level: float = 0.0) -> None:
+    def __init__(self, info: api.Backend, now: float, health: Health, level: float = 0.0) -> None:
         self.info, self.present = info, True
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
-        self.fresh_start(now, level)
+        self.fresh_start(now, health, level)
 
-    def fresh_start(self, now: float, level: float) -> None:
+    def fresh_start(self, now: float, health: Health, level: float) -> None:
         """Danger: cold budgets far under one attempt that start alike reach it at one moment, or too late.
         With a `level` drawn evenly from 0 to 1 all gateways together send at their rate from the start."""
         self.pace, self.pace_at = 1.0, now  # answer time beside what the class takes on the mean
         self.wait = BUSY  # mean answer time as a share of the aim
         self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
-        self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
-        self.turned_away = 0  # attempts in a row that it turned away
+        self.health, self.since = health, now
+        self.heard_at, self.busy_until = now, now
         self.budget = Bucket(0.0, 1.0, level, now)
 
     def state(self) -> api.BackendState:
-        return api.BackendState(self.info.id, self.limit, self.was_cut, self.wait, self.pace, self.failures,
-                                self.unreachable, self.retry_at, self.budget.level)
+        return api.BackendState(self.info.id, self.limit, self.was_cut, self.wait, self.pace,
+                                self.budget.level, self.health.snapshot())
 
     def inherit(self, state: api.BackendState) -> None:
         self.limit, self.was_cut, self.wait, self.pace = state.limit, state.was_cut, state.wait, state.pace
-        self.failures, self.unreachable, self.retry_at = state.failures, state.unreachable, state.retry_at
         self.budget.level = state.budget
 
     def cold(self, now: float, settings: api.Settings) -> bool:
@@ -205,35 +202,22 @@
     def oldest(self, now: float) -> float:
         return now - next(iter(self.out.values())) if self.out else 0.0
 
-    def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
-        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused connections at
-        the first sign, broken ones at the second in a row, errors and time-outs when more come in a row;
-        each further failure doubles the pause, and one attempt then tries it again."""
-        if outcome is api.Outcome.FULL:
-            self.turned_away += 1
-            if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
-                self.cut(now, 0.0)
-            if self.wait >= BUSY or self.turned_away > 1:
-                # Danger: one that drains before the list says so turns all away at once and looks idle.
-                pause = patience / 4 * 2.0 ** min(self.turned_away - 1, 4)
-                self.retry_at = max(self.retry_at, now + pause)
-            return
-        self.failures += 1
-        row = self.failures + 1 - FIRST_SIGN.get(outcome, FAILURE_ROW)
-        self.unreachable = outcome in FIRST_SIGN and row > 0
-        if row > 0:
-            self.retry_at = now + patience / 2 * 2.0 ** min(row - 1, 4)
+    def turned_away(self, now: float, patience: float) -> None:
+        """Where it is slow as well, it holds too much; else it is about that request."""
+        if self.wait >= BUSY:
+            self.cut(now, 0.0)
+            self.busy_until = now + patience / 4
 
     def ejected(self, now: float) -> bool:
-        if not self.unreachable and self.failures < FAILURE_ROW:
-            return now < self.retry_at
-        return now < self.retry_at or bool(self.out)
+        return now < self.busy_until or self.health.avoided(now, len(self.out))
 
     def load(self, now: float, mean: float, patience: float, zone: str, chance: float) -> float:
         """What it is thought to hold for its size.  Danger: gateways that each hold next to nothing would
         all choose the same largest backend; with `chance` exponential, idle ones are chosen by size."""
         pace: float = 1.0 + (self.pace - 1.0) * 0.5 ** ((now - self.pace_at) / (3 * patience))
         pace = max(pace, self.oldest(now) / max(mean, 1e-6) / 3.0, 0.2)
+        if self.health.bad:
+            pace *= self.health.tries()
         return (len(self.out) + chance) * pace / max(self.info.weight, 1e-6) * (
             CROSS_ZONE if zone != self.info.zone else 1.0)
 
@@ -246,6 +230,7 @@
         self.servers: dict[str, Server] = {}
         self.means: dict[str, float] = {}
         self.patience = max(c.aim for c in settings.classes)
+        self.outliers = Outliers(settings, self.patience, rng)
         self.units = 1.0  # of a request, on the mean
         self.typical = 0.0  # answers a second from here for a unit of weight, when warm
         self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
@@ -264,15 +249,19 @@
                 server.present = server.present and server.info.id in named
         for info in event.backends:
             if info.id not in self.servers:
-                self.servers[info.id] = Server(info, now, self.rng.random())
+                health = self.outliers.track(info.id, info.started, now)
+                self.servers[info.id] = Server(info, now, health, self.rng.random())
             server = self.servers[info.id]
-            if info.started != server.info.started:
-                server.fresh_start(now, self.rng.random())
+            if info.started > server.info.started:
+                server.fresh_start(now, self.outliers.restarted(info.id, info.started), self.rng.random())
+            elif not server.present and info.readiness is api.Readiness.READY:
+                server.health = self.outliers.track(info.id, info.started, now)
             server.info, server.present = info, info.readiness is api.Readiness.READY
         for name in [n for n, s in self.servers.items() if not s.present and not s.out]:
             if self.servers[name].info.readiness is api.Readiness.GONE or name not in named:
                 del self.servers[name]
         self.present = [s for s in self.servers.values() if s.present]
+        self.outliers.keep((s.info.id for s in self.present), now)
         self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
         self.near = self.near[:SUBSET]
 
@@ -339,15 +328,34 @@
         slow = max(self.means.values(), default=self.patience)
         return sum(s.stalled(now, slow) or s.ejected(now) for s in self.present)
 
+    def _open(self, server: Server, now: float, job: Job, slow: float) -> bool:
+        """Whether it is given something new, there being others."""
+        health = server.health
+        if health.state is State.HEALTHY and not server.out:
+            return now >= health.hold and now >= server.busy_until
+        if health.state is State.EJECTED:
+            self.outliers.look(health, now)
+        if health.state is State.TRIAL:
+            # Danger: what can't be repeated is lost with a trial that fails.
+            if job.tries or job.cls.semantics is api.Semantics.UNSAFE:
+                return False
+            server.limit = min(server.limit, float(TRIALS))
+        if server.out and server.stalled(now, slow):
+            self.outliers.silent(health, now)
+            return False
+        return not server.ejected(now)
+
     def best(self, job: Job, now: float, servers: list[Server]) -> Server | None:
         tried = {server.info.id for server, _ in job.tries}
-        usable = [s for s in servers if job.may_send(s, now, self.settings)]
+        usable = [s for s in servers if job.may_send(s, now, self.settings)] if job.tries else servers
         slow = max(self.means.values(), default=self.patience)
-        healthy = [s for s in usable if not s.stalled(now, slow) and not s.ejected(now)]
+        healthy = [s for s in usable if self._open(s, now, job, slow)]
         if len(healthy) < MIN_ELIGIBLE * len(usable):
-            # The cause is likely shared.  Danger: one that refuses connections, or turns all away, at once
-            # would draw all.
-            healthy = [s for s in usable if s in healthy or not (s.unreachable or s.turned_away > 1)]
+            # The cause is likely shared, but for those found to fare worse than the rest.  Danger: one that
+            # refuses at once would draw all.
+            healthy = [s for s in usable if s.health.state is not State.EJECTED and now >= s.health.hold]
+            if not healthy:
+                healthy = [s for s in usable if now >= s.health.hold]
         best: Server | None = None
         best_load, mean = float("inf"), self.mean(job.cls)
         for server in healthy:
@@ -382,7 +390,7 @@
         self.retries = Bucket(0.0, 10.0, 1.0, 0.0)
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
         self.watched: deque[tuple[float, Job]] = deque()  # when each is due a second attempt, in order
-        self.watching = False
+        self.watching, self.copies_due = False, 0.0
         self.copy_odds = 0.5  # share of the second attempts that answered before the first
         self.called, self.ending, self.draining = False, False, False  # by call, by SIGTERM, by either
         self.twins = api.Twins(0)
@@ -396,6 +404,13 @@
             self.actions.append(api.SetTimer(IDLE, TICK))
             if self.settings.ask_discovery:
                 self.actions.append(api.Subscribe())
+        self._act(now, event)
+        if self.fleet.outliers.actions:
+            self.actions += self.fleet.outliers.actions
+            self.fleet.outliers.actions = []
+        return self.actions
+
+    def _act(self, now: float, event: api.Event) -> None:
         match event:
             case api.Request():
                 self._request(now, event)
@@ -436,11 +451,17 @@
                     job.deadline = now + left
             case api.StreamStarted():
                 self._started(now, event)
-        return self.actions
+            case api.ProbeEnded():
+                self.fleet.outliers.report(event.load)
+                self.fleet.outliers.probed(now, event)
 
     def avoided(self, now: float) -> int:
         return self.fleet.avoided(now)
 
+    def health(self) -> dict[str, int]:
+        """What is shown of the servers' health."""
+        return self.fleet.outliers.counts()
+
     def _drain(self, now: float, event: api.Drain) -> None:
         """Danger: a front that is not told sends on; clients whose connections close before it has turned
         away come back by new ones.  What still comes is let in like any other request."""
@@ -481,8 +502,12 @@
                 customer.slice.level, customer.ceiling.level = known.slice_level, known.ceiling_level
                 customer.elsewhere = known.out
         for state in estate.backends:
-            if server := fleet.servers.get(state.id):
-                server.inherit(state)
+            server = fleet.servers.get(state.id)
+            if server is None or (state.health and state.health.started < server.info.started):
+                continue  # it has left, or another has started in its place
+            server.inherit(state)
+            if state.health is not None:
+                fleet.outliers.restore(server.health, state.health, now)
         if estate.draining:
             self._drain(now, api.Drain())
 
@@ -571,8 +596,7 @@
             if self.settings.second_copies and not job.late:
                 self.watched.append((now + COPY * self.fleet.patience, job))
                 if not self.watching:
-                    self.watching = True
-                    self.actions.append(api.SetTimer(COPY * self.fleet.patience, COPIES))
+                    self._watch(now, COPY * self.fleet.patience)
         number = len(job.tries)
         job.tries.append((server, now))
         job.out[number] = server
@@ -610,8 +634,9 @@
             self._answered(now, job, server, event.attempt, event.latency)
 
     def _answered(self, now: float, job: Job, server: Server, attempt: int, latency: float) -> None:
-        server.failures, server.turned_away, server.unreachable = 0, 0, False
         server.answered(now, latency, self.fleet.mean(job.cls), job.cls.aim)
+        if now - latency >= server.since:  # else another process answered
+            self.fleet.outliers.good(server.health, now, latency > job.cls.aim)
         self.fleet.note_done(now, job.cls, latency)
         others = [number for number in job.out if number != attempt]
         if others and not job.over:
@@ -633,21 +658,36 @@
         self.fleet.held.pop((event.id, event.attempt), None)
         if event.outcome.never_ran:
             job.maybe.remove((server, sent))
+        self.fleet.outliers.report(event.load)
         if event.outcome is api.Outcome.OK:
             if event.attempt != job.streaming:
                 self._answered(now, job, server, event.attempt, event.latency)
             if event.settled and job.inside:
                 customer.settle(event.settled - job.units)
-        elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
-            if event.outcome is api.Outcome.TIMEOUT:
-                server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
-            server.failed(now, event.outcome, self.fleet.patience)
+        elif event.outcome is not api.Outcome.MOOT and not event.own:
+            self._failed(now, job, server, event, sent)
         if event.finished or job.over:
             job.over = True
             self.jobs.pop(job.id, None)
         elif not job.out:
             self._again(now, job)
 
+    def _failed(self, now: float, job: Job, server: Server, event: api.AttemptEnded, sent: float) -> None:
+        outliers, outcome = self.fleet.outliers, event.outcome
+        silent = server.heard_at < sent
+        if outcome is api.Outcome.TIMEOUT:
+            outliers.late_timer(now, now - job.deadline)
+            server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
+        elif outcome is api.Outcome.FULL:
+            server.turned_away(now, self.fleet.patience)
+        # Danger: a client that waits a moment only, or goes, tells nothing of the server.
+        given = now - sent >= COPY * self.fleet.patience - self.settings.tick
+        if sent < server.since or (outcome in UNANSWERED and not given):
+            return
+        if outcome not in UNANSWERED and outcome is not api.Outcome.CONNECT_FAILED:
+            server.heard_at = now
+        outliers.failed(server.health, now, outcome, silent)
+
     def _again(self, now: float, job: Job) -> None:
         """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room."""
         if self._room_again(now, job) and self._send(now, job):
@@ -662,6 +702,7 @@
     def _copy(self, now: float) -> None:
         """Danger: a backend that takes a request and never answers holds it to its deadline.  A second
         attempt goes beside the first, which may yet answer; under the same bounds as one after a failure."""
+        self.fleet.outliers.late_timer(now, now - self.copies_due)
         most = 0.0 if self.copy_odds > WORTHY else AMPLE
         while self.watched and (self.watched[0][0] <= now + self.settings.tick or not self.watched[0][1].out):
             job = self.watched.popleft()[1]
@@ -669,9 +710,13 @@
             fit = alone and job.deadline < float("inf") and not job.customer.full()  # else a stream: it began
             if fit and self._room_again(now, job, most) and self._send(now, job):
                 self.retries.take(1.0)
-        self.watching = bool(self.watched)
-        if self.watching:
-            self.actions.append(api.SetTimer(self.watched[0][0] - now, COPIES))
+        self.watching = False
+        if self.watched:
+            self._watch(now, self.watched[0][0] - now)
+
+    def _watch(self, now: float, delay: float) -> None:
+        self.watching, self.copies_due = True, now + delay
+        self.actions.append(api.SetTimer(delay, COPIES))
 
     def _tick(self, now: float) -> None:
         self.actions.append(api.SetTimer(IDLE, TICK))
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -22,16 +23,23 @@
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
+# What a failed connect says of this process, not of the backend: no descriptor, port or memory is left.
+OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 LONGEST_ANSWER = 256 * 1024  # bytes beside a long value
 SILENCE = 10.0  # s without a byte of a value that has begun: longer than peers take between two pieces
+MOST_FIGURES = 16  # in a load report
 SWEEP = 1.0  # s between looks for idle connections
 
 
+Meaning = tuple[Outcome, bytes | None, dict[str, float]]  # of an answer: outcome, value, load report
+
+
 class Attempt:
     """One attempt at one backend, from the module's `Send` to its outcome."""
 
-    __slots__ = ("backend", "connection", "deadline", "ended", "number", "parts", "request", "sent", "timer",
-                 "whole")
+    __slots__ = ("backend", "connection", "deadline", "ended", "number", "own", "parts", "request", "sent",
+                 "timer", "whole")
+    counted = True  # among those forwarded
 
     def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
                  parts: tuple[bytes, bytes, bytes], whole: bool = True) -> None:
@@ -39,7 +47,7 @@
         self.deadline, self.parts = deadline, parts
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.ended = False
+        self.ended, self.own = False, False  # `own`: it failed here
         self.whole = whole  # else a long value follows in pieces, and the time-out runs from the last
 
     def pause(self) -> None:
@@ -59,6 +67,9 @@
             text = b",".join(left if part.startswith(b"d=") else part for part in text.split(b","))
         return b"%b$%d\r\n%b%b" % (before, len(text), text, after)
 
+    def meaning(self, answer: Any) -> Meaning:
+        return _meaning(answer)
+
 
 class Target:
     """One backend as the list has it, and the connections to it that are idle, the latest used last."""
@@ -111,7 +122,7 @@
         except hiredis.ProtocolError as error:
             log.warning("backend %s: broken answer: %s", attempt.backend, error)
             self.close()
-            self.pool.end(attempt, Outcome.ERROR)
+            self.pool.end(attempt, Outcome.SPOILT)
             return
         if piece:
             self.heard = self.pool.clock()
@@ -122,7 +133,7 @@
             if self.answers.kept > LONGEST_ANSWER:
                 log.warning("backend %s: endless answer", attempt.backend)
                 self.close()
-                self.pool.end(attempt, Outcome.ERROR)
+                self.pool.end(attempt, Outcome.SPOILT)
             return
         self.attempt = None
         if self.answers.has_data() or not attempt.whole:
@@ -130,7 +141,7 @@
         else:
             self.pool.release(self)
         self.read_on(True)
-        outcome, value, load = _meaning(answer)
+        outcome, value, load = attempt.meaning(answer)
         self.pool.end(attempt, outcome, value, load)
 
     def eof_received(self) -> None:
@@ -180,7 +191,7 @@
         self.pool.closed(self)
 
 
-def _meaning(answer: Any) -> tuple[Outcome, bytes | None, dict[str, float]]:
+def _meaning(answer: Any) -> Meaning:
     """The outcome, the value and the load report of a whole answer."""
     if isinstance(answer, list):
         if answer and isinstance(answer[0], bytes):
@@ -189,29 +200,35 @@
         text = str(answer)
         kind, _, rest = text.partition(" ")
         if kind == "BUSY":
-            return Outcome.FULL, None, _load(rest.rpartition(" ")[2])
+            return Outcome.FULL, None, _load(_last(rest))
         if kind != "ERR":
             log.warning("backend answered %.80r", text)
-        return Outcome.ERROR, None, _load(rest.rpartition(" ")[2])
-    # Guards against serving what no backend made: a null or an odd answer is an error; it may have run.
-    return Outcome.ERROR, None, {}
+        return Outcome.ERROR, None, _load(_last(rest))
+    # Guards against serving what no backend made: a null or an odd answer is none; it may have run.
+    return Outcome.SPOILT, None, {}
 
 
 def _load(text: Any) -> dict[str, float]:
-    if isinstance(text, bytes):
-        text = text.decode("ascii", "replace")
-    if not isinstance(text, str) or "=" not in text:
+    """A load report; a part of it that can't be read is not a number, for the module to see."""
+    if text is None:
         return {}
+    text = text.decode("ascii", "replace") if isinstance(text, bytes) else str(text)
     load = {}
-    for part in text.split(","):
+    for part in text.split(",", MOST_FIGURES):
         name, _, figure = part.partition("=")
         try:
             load[LOADS.get(name, name)] = float(figure)
         except ValueError:
-            continue
+            load[LOADS.get(name, name)] = float("nan")
     return load
 
 
+def _last(text: str) -> str | None:
+    """The load report at the end of an error line, if there is one."""
+    word = text.rpartition(" ")[2]
+    return word if "=" in word else None
+
+
 class Backends:
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`.  A long value is
     given before that in pieces, with its size, to `piece`; the last one says that it is whole."""
@@ -286,6 +303,7 @@
                 return
             connection.close()
         if self.sockets >= self.most and not self._spare():
+            attempt.own = True
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         self.sockets += 1
@@ -328,10 +346,10 @@
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
         connection.transport.write(attempt.command(self.clock()))
-        if attempt.whole:
-            self.figures.forwards += 1
-        else:
+        if not attempt.whole:
             self.writable(attempt)
+        elif attempt.counted:
+            self.figures.forwards += 1
 
     def write_on(self, attempt: Attempt, piece: bytes, last: float | None) -> bool:
         """A piece of a long value; with the last one comes the time when the attempt is given up.  Tells
@@ -357,9 +375,9 @@
     # Connections
 
     async def _connect(self, target: Target, attempt: Attempt) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        address = target.address
+        sock, address, began = None, target.address, self.clock()
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.connect_timeout):
@@ -368,9 +386,13 @@
                 lambda: Connection(self, target, address, sock), sock=sock)
         except BaseException as error:
             self.sockets -= 1
-            sock.close()
-            if not isinstance(error, OSError | TimeoutError):
+            if sock is not None:
+                sock.close()
+            if not isinstance(error, OSError):
                 raise
+            # Guards against blame for what this process lacks: a descriptor, or the time to look in time.
+            late = isinstance(error, TimeoutError) and self.clock() - began > 2 * self.connect_timeout
+            attempt.own = late or error.errno in OWN
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         if not connection.open:
--- a/mulleinhall/net/figures.py
+++ b/mulleinhall/net/figures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
 
@@ -28,10 +28,12 @@
         self.outstanding -= 1
         self.ends[name, end] += 1
 
-    def lines(self, discovered: int, ejected: int) -> list[str]:
+    def lines(self, discovered: int, ejected: int, health: Mapping[str, int]) -> list[str]:
         return [
             *(f"app.results.{name}.{end.value}:{count}|c" for (name, end), count in self.ends.items()),
             f"app.forwards:{self.forwards}|c",
             f"app.outstanding:{self.outstanding}|g",
             f"app.discovered:{discovered}|g",
-            f"app.ejected:{ejected}|g"]
+            f"app.ejected:{ejected}|g",
+            *(f"app.{name}:{count}|{'g' if name.startswith('health.') else 'c'}"
+              for name, count in health.items())]
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -9,7 +9,7 @@
 import os
 import socket
 import tempfile
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import asdict, astuple
 from pathlib import Path
 from typing import Any, Protocol, cast
@@ -19,7 +19,8 @@
 
 log = logging.getLogger(__name__)
 
-FORM = 1  # of what is said; a process that speaks another is not understood
+FORM = 2  # of what is said; a process that speaks another is not understood, but for the one before
+BEFORE = 1  # it kept health otherwise: what is known of the servers' health begins anew
 PATIENCE = 3.0  # s for the process before to hand over
 MOST_WAITING = 8 << 20  # bytes that wait to be written to another process
 LONGEST = 16 << 20  # bytes of a line
@@ -36,13 +37,13 @@
                  rest: bytes) -> None:
         self.sock, self.listener, self.rest = sock, listener, rest
         try:
-            if message["form"] != FORM:
+            if message["form"] not in (FORM, BEFORE):
                 raise ValueError(f"form {message['form']!r}")
             infos = (api.Backend(**row | {"readiness": api.Readiness(row["readiness"])})
                      for row in message["backends"])
             self.listing = Listing(int(message["version"]), True, tuple(infos), {
                 name: (host, port) for name, (host, port) in message["addresses"].items()})
-            self.estate = read_estate(message["estate"])
+            self.estate = read_estate(message["estate"], message["form"])
         except (KeyError, TypeError, ValueError) as error:
             raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
 
@@ -51,11 +52,20 @@
     return Path(tempfile.gettempdir()) / f"ingress-{listen[0]}-{listen[1]}"
 
 
-def read_estate(row: Mapping[str, Any]) -> api.Estate:
+def read_backend(state: Sequence[Any], form: int) -> api.BackendState:
+    if form == BEFORE:
+        name, limit, was_cut, wait, pace, _failures, _unreachable, _retry_at, budget = state
+        return api.BackendState(name, limit, was_cut, wait, pace, budget)
+    name, limit, was_cut, wait, pace, budget, health = state
+    known = None if health is None else api.HealthState(*health)
+    return api.BackendState(name, limit, was_cut, wait, pace, budget, known)
+
+
+def read_estate(row: Mapping[str, Any], form: int = FORM) -> api.Estate:
     return api.Estate(
         float(row["born"]), bool(row["draining"]), float(row["typical"]), float(row["done"]), row["means"],
         tuple(api.CustomerState(*state) for state in row["customers"]),
-        tuple(api.BackendState(*state) for state in row["backends"]))
+        tuple(read_backend(state, form) for state in row["backends"]))
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -26,6 +26,7 @@
 from mulleinhall.net.discovery import Discovery, Listing
 from mulleinhall.net.figures import End, Figures
 from mulleinhall.net.handover import Handover, Link, Taken, will
+from mulleinhall.net.probes import Check
 
 log = logging.getLogger(__name__)
 
@@ -171,7 +172,8 @@
             case "ready":
                 return "fail ending" if self.ending else "ok"
             case "show-stat":
-                lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()))
+                lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()),
+                                           self.gateway.health())
                 return "\n".join([*lines, "eof"])
             case "drain" | "resume" if self.ending:
                 return "fail ending"
@@ -363,6 +365,10 @@
 
     def ended(self, attempt: Attempt, outcome: api.Outcome, value: bytes | None,
               load: dict[str, float]) -> None:
+        if isinstance(attempt, Check):
+            if not attempt.own:
+                self.feed(api.ProbeEnded(attempt.backend, outcome, self.clock() - attempt.sent, load))
+            return
         request = self.open.get(attempt.request)
         self.attempts.pop((attempt.request, attempt.number), None)
         if request is not None:
@@ -374,7 +380,7 @@
                 self._answer(request, bulk(value), End.SUCCEEDED)
         self.feed(api.AttemptEnded(
             attempt.request, attempt.number, attempt.backend, outcome, self.clock() - attempt.sent,
-            request is None or request.answered, load=load))
+            request is None or request.answered, load=load, own=attempt.own))
 
     # The module
 
@@ -430,6 +436,9 @@
             case api.Cancel(id=key, attempt=number):
                 if attempt := self.attempts.get((key, number)):
                     self.backends.cancel(attempt)
+            case api.Probe(backend=backend, timeout=timeout):
+                now = self.clock()
+                self.backends.start(Check(backend, now, now + timeout))
             case api.CloseIdle(backend=backend):
                 self.backends.close_idle(backend)
             case api.Log(text=text):
--- /dev/null
+++ b/mulleinhall/net/probes.py
@@ -0,0 +1,32 @@
+"""Probes: `PING` on a connection of the pool, which tells little more than that the process runs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import hiredis
+
+from mulleinhall.interface import Outcome
+from mulleinhall.net.backends import Attempt, Meaning
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+class Check(Attempt):
+    """One probe of one backend: an attempt that is no request's."""
+
+    __slots__ = ()
+    counted = False
+
+    def __init__(self, backend: str, sent: float, deadline: float) -> None:
+        super().__init__("", 0, backend, sent, deadline, (b"", b"", b""))
+
+    def command(self, now: float) -> bytes:
+        return PING
+
+    def meaning(self, answer: Any) -> Meaning:
+        if answer == b"PONG" or answer == "PONG":
+            return Outcome.OK, None, {}
+        if isinstance(answer, hiredis.ReplyError):
+            return (Outcome.FULL if str(answer).startswith("BUSY") else Outcome.ERROR), None, {}
+        return Outcome.SPOILT, None, {}
--- a/mulleinhall/wire.py
+++ b/mulleinhall/wire.py
@@ -14,6 +14,7 @@
 def read_settings(env: Mapping[str, Any]) -> api.Settings:
     """The settings of a `Start` or of EDGE_CONFIG; figures that are impossible raise a ValueError."""
     limits, rules, info = env["limits"], env["rules"], env["family-info"]
+    report = env.get("report", {})
     classes = tuple(
         api.RequestClass(
             name=c["name"], aim=c["aim-s"], deadline=c["give-up-s"], worth=c["importance"],
@@ -41,4 +42,5 @@
         peers=limits.get("peers", False), peer_rate=info.get("mail-per-s", 0.0),
         counter=info.get("counter", False), counter_timeout=info.get("count-wait-s", 0.0),
         meter_period=info.get("meter-s", 0.0), settles=info.get("cost-after", False),
-        most_units=info.get("most-units", 1))
+        most_units=info.get("most-units", 1), probe_price=env.get("prices", {}).get("probe", 0.0),
+        reports=tuple(LOADS.get(name, name) for name in report.get("columns", ())))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
+from mulleinhall.health import Health
 from mulleinhall.interface import (
     Action,
     AttemptEnded,
@@ -24,7 +25,7 @@
     Send,
     Settings,
 )
-from mulleinhall.logic import Gateway
+from mulleinhall.logic import Gateway, Server
 
 SAFE = RequestClass("read", aim=1.0, deadline=4.0)
 KEYED = RequestClass("order", aim=1.0, deadline=4.0, semantics=Semantics.KEYED, window=3.0)
@@ -60,6 +61,11 @@
         return self.at(after, AttemptEnded(send.id, attempt, send.backend, outcome, after, **more))
 
 
+def server(info: Backend, now: float) -> Server:
+    """One server of which nothing is known."""
+    return Server(info, now, Health(info.id, info.started))
+
+
 def sends(actions: Iterable[Action]) -> list[Send]:
     return [a for a in actions if isinstance(a, Send)]
 
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -98,6 +98,23 @@
     run(body())
 
 
+def test_the_second_process_inherits_the_evidence(tmp_path: Path) -> None:
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(fleet(peer), path) as (first, _):
+            outliers = first.gateway.fleet.outliers
+            one = first.gateway.fleet.servers["s3"].health
+            while not outliers.ejected:
+                outliers.failed(one, first.clock(), api.Outcome.ERROR)
+            async with process(fleet(peer), path) as (second, _):
+                heir = second.gateway.fleet.servers["s3"].health
+                assert heir.snapshot() == one.snapshot()
+                assert second.gateway.health()["health.ejected"] == 1
+                assert second.gateway.health()["health.healthy"] == 7
+
+    run(body())
+
+
 def test_the_first_goes_on_when_the_second_dies(tmp_path: Path) -> None:
     async def body() -> None:
         path = tmp_path / "there"
