Divide a cold server among the gateways that prefer it

Cause: Fleet.cold_ok divided a cold server's budget by all gateways, of which one in ten prefers it.

Change: those that prefer a server divide its budget, at 0.65 of it where they are a part of all; the rest share the least budget. What is counted as typical comes from preferred servers alone. Unchanged where twelve servers or fewer are listed. The new test fails without it at 14 and 60 servers.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -28,6 +28,7 @@
 SUBSET = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
 RETRY_SHARE = 0.15  # further attempts for each first one, on the mean
 COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
+UNEVENLY = 0.65  # of that where gateways prefer a few: half as many again may prefer one as another
 STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
 MIN_ELIGIBLE = 0.5  # of the backends: when fewer answer, silence has a cause that all share
 CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
@@ -155,7 +156,7 @@
     """One backend: what it holds from here, how it fares, and whether it is cold or leaving."""
 
     def __init__(self, info: api.Backend, now: float, health: Health, level: float = 0.0) -> None:
-        self.info, self.present = info, True
+        self.info, self.present, self.near = info, True, False
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
         self.fresh_start(now, health, level)
 
@@ -233,7 +234,7 @@
         self.outliers = Outliers(settings, self.patience, rng)
         self.units = 1.0  # of a request, on the mean
         self.typical = 0.0  # answers a second from here for a unit of weight, when warm
-        self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
+        self.done, self.done_at = 0.0, 0.0  # answers a second of the preferred, smoothed over a cold time
         self.densities: deque[float] = deque(maxlen=256)
         self.present: list[Server] = []
         self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
@@ -264,13 +265,19 @@
         self.outliers.keep((s.info.id for s in self.present), now)
         self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
         self.near = self.near[:SUBSET]
+        for server in self.servers.values():
+            server.near = False
+        for server in self.near:
+            server.near = True
 
     def mean(self, cls: api.RequestClass) -> float:
         return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
 
-    def note_done(self, now: float, cls: api.RequestClass, latency: float) -> None:
+    def note_done(self, now: float, cls: api.RequestClass, latency: float, near: bool) -> None:
         mean = self.means.setdefault(cls.name, latency)
         self.means[cls.name] = mean + SMOOTH / 4 * (min(latency, cls.aim) - mean)
+        if not near:
+            return
         span = max(self.settings.cold_time / 4, 1.0)
         self.done = self.done * max(0.0, 1 - (now - self.done_at) / span) + 1.0 / span
         self.done_at = now
@@ -282,17 +289,25 @@
 
     def cold_ok(self, server: Server, now: float, job: Job) -> bool:
         """Danger: a cold backend that all gateways fill at once falls over and stays down.  Each
-        gateway keeps its own part: what backends carry from here when warm, by what a cold one bears."""
+        gateway keeps its own part: what backends carry from here when warm, by what a cold one bears.
+        Where gateways prefer a few backends each, those that prefer one divide what it bears: parts of all
+        for all are hardly used, and a zone that is back stays idle while the rest is overrun."""
         s = self.settings
         if not server.cold(now, s):
             return True
-        warm = sum(x.info.weight for x in self.present if not x.cold(now, s))
-        if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.present):
+        warm = sum(x.info.weight for x in self.near if not x.cold(now, s))
+        if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.near):
             self.typical = self.done / warm  # when most are cold, what was typical before still holds
         share = s.cold_share + (1 - s.cold_share) * (now - server.info.started) / max(s.cold_time, 1e-6)
         typical = self.typical * server.info.weight
         least = 0.5 / (s.fall_time * s.gateways)
-        server.budget.rate = max(least, COLD_MARGIN * s.fall_factor * min(1.0, share) * typical)
+        if server.near:
+            chosen = len(self.near) / len(self.present)  # the share of the gateways that prefer a backend
+            margin = COLD_MARGIN * max(UNEVENLY, chosen)
+            least /= max(chosen, 1 / s.gateways)
+            server.budget.rate = max(least, margin * s.fall_factor * min(1.0, share) * typical)
+        else:
+            server.budget.rate = least
         free, work = len(server.out) < max(1.0, server.budget.rate), self.work(job)
         return free and server.budget.fits(now, work, max(1.0, work))
 
@@ -637,7 +652,7 @@
         server.answered(now, latency, self.fleet.mean(job.cls), job.cls.aim)
         if now - latency >= server.since:  # else another process answered
             self.fleet.outliers.good(server.health, now, latency > job.cls.aim)
-        self.fleet.note_done(now, job.cls, latency)
+        self.fleet.note_done(now, job.cls, latency, server.near)
         others = [number for number in job.out if number != attempt]
         if others and not job.over:
             self.copy_odds += SMOOTH * ((attempt > min(others)) - self.copy_odds)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -231,3 +231,28 @@
         got = sum(start + n <= t < start + n + 1 for t in times)
         share = SETTINGS.cold_share + (1 - SETTINGS.cold_share) * n / 10
         assert 0 < got < 20 * SETTINGS.fall_factor * share * SETTINGS.fall_time * 1.1
+
+
+@pytest.mark.parametrize("servers", [8, 12, 14, 60])
+def test_a_cold_server_gets_what_it_bears_from_those_that_prefer_it_and_no_more(servers: int) -> None:
+    """Where each gateway prefers a few, parts divided among all were hardly used: a zone stayed idle."""
+    count, carried = 100, 5.0  # gateways, and answers a second at each
+    fleet = [Backend(f"b{n}") for n in range(servers)]
+    bears = SETTINGS.fall_factor * SETTINGS.cold_share * count * carried / servers
+    for cold in fleet[:3]:
+        given, beside = 0.0, 0.0
+        for number in range(count):
+            gateway = Gateway(replace(SETTINGS, gateways=count, number=number), number)
+            listed = tuple(replace(b, started=100.0) if b is cold else b for b in fleet)
+            gateway.handle(100.0, BackendsChanged(ListKind.RESTORED, listed))
+            gateway.fleet.done, gateway.fleet.done_at = carried, 100.0
+            play = Play(SETTINGS)
+            play.ask()
+            server = gateway.fleet.servers[cold.id]
+            gateway.fleet.cold_ok(server, 100.0, play.gateway.jobs["r1"])
+            if server.near:
+                given += server.budget.rate
+            else:
+                beside += server.budget.rate
+        assert 0.3 * bears < given <= bears
+        assert beside <= 0.5 / SETTINGS.fall_time  # all others together, should every preferred one fail
