Take a change of settings as an event: what is spent stays spent

Need: plans, classes and limits have to change in a running process without a fresh burst or a raised ceiling.

Change: the event SettingsChanged. Open requests keep their class, plan and deadline; a bucket remembers what is owed beside what it holds; customers of a plan that is gone are kept until they have refilled; the ceiling of a customer not seen yet is one bucket a plan. A request of a plan or class that has just gone is failed.

--- a/mulleinhall/health.py
+++ b/mulleinhall/health.py
@@ -100,9 +100,8 @@
     """Finds the servers that fare worse than the rest."""
 
     def __init__(self, settings: api.Settings, patience: float, rng: random.Random) -> None:
-        self.settings, self.patience, self.rng = settings, patience, rng
-        self.memory = FADE_TIMES * patience
-        self.fading = -log(2) / self.memory
+        self.rng = rng
+        self.adapt(settings, patience)
         self.servers: dict[str, Health] = {}  # those that the list has as ready
         self.departed: dict[str, tuple[float, Health]] = {}
         self.actions: list[api.Action] = []  # to be taken: probes, log lines
@@ -111,6 +110,11 @@
         self.gap = 0.0  # s between two outcomes at one server, on the mean
         self.starved_until = -inf
         self.log_room, self.log_at, self.unsaid = LOGS, 0.0, 0
+
+    def adapt(self, settings: api.Settings, patience: float) -> None:
+        self.settings, self.patience = settings, patience
+        self.memory = FADE_TIMES * patience
+        self.fading = -log(2) / self.memory
         budget = PROBES_MOST
         if settings.probe_price > 0:
             budget = min(budget, PROBE_SPEND / settings.probe_price)
--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -256,6 +256,13 @@
     last: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From now on these hold.  Requests that were taken keep the class, plan and time they came with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Twins:
     """How many other processes of this gateway live; `successor`: one of them takes the new connections."""
@@ -281,7 +288,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CustomerState:
-    """A customer's buckets, and its attempts out."""
+    """A customer's buckets, and its attempts out.  `owed`: spent and not refilled, whatever the cap is."""
 
     customer: str
     plan: str
@@ -289,6 +296,8 @@
     slice_level: float
     ceiling_level: float
     out: int
+    slice_owed: float = 0.0
+    ceiling_owed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,7 +335,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Estate:
-    """All that a process hands to the one that takes its place."""
+    """All that a process hands to the one that takes its place.  `fresh`: what the ceiling of a customer not
+    seen yet holds, by plan; where it is not told, it has filled since `born`."""
 
     born: float
     draining: bool
@@ -335,6 +345,7 @@
     means: Mapping[str, float]
     customers: tuple[CustomerState, ...]
     backends: tuple[BackendState, ...]
+    fresh: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -455,8 +466,8 @@
     text: str
 
 
-Event: TypeAlias = (BackendsChanged | Request | UploadStarted | Uploaded | StreamStarted | AttemptEnded
-                    | Abandoned | Timer | Drain | Twins | Spent | Estate | ProbeEnded | PeerMessage
-                    | CounterReply)
+Event: TypeAlias = (BackendsChanged | SettingsChanged | Request | UploadStarted | Uploaded | StreamStarted
+                    | AttemptEnded | Abandoned | Timer | Drain | Twins | Spent | Estate | ProbeEnded
+                    | PeerMessage | CounterReply)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
                      | Subscribe | FetchBackends | Welcome | LetGo | TellTwins | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -41,45 +41,67 @@
 
 
 class Bucket:
-    """A token bucket: fills at `rate` up to `cap`."""
+    """A token bucket: fills at `rate` up to `cap`.  `owed`: what was spent and has not refilled, also where
+    a smaller cap holds less than that."""
 
     def __init__(self, rate: float, cap: float, level: float, now: float) -> None:
         self.rate, self.cap, self.level, self.at = rate, cap, level, now
+        self.owed = max(0.0, cap - level)
 
     def fits(self, now: float, units: float, cap: float | None = None) -> bool:
-        cap = self.cap if cap is None else cap
-        self.level = min(max(cap, self.level), self.level + self.rate * (now - self.at))
-        self.at = now
+        cap, filled = self.cap if cap is None else cap, self.rate * (now - self.at)
+        self.level = min(max(cap, self.level), self.level + filled)
+        self.owed, self.at = max(0.0, self.owed - filled), now
         return self.level >= units - 1e-9
 
     def take(self, units: float) -> None:
         self.level -= units
+        self.owed += units
+
+    def reform(self, now: float, rate: float, cap: float) -> None:
+        """Danger: what is spent stays spent, or changes to and fro would hand out a burst each time.  Where
+        the new cap is less than what is owed, it goes on from what it holds: nobody is locked out."""
+        self.fits(now, 0.0)
+        if (rate, cap) != (self.rate, self.cap):
+            self.rate, self.cap = rate, cap
+            self.level = cap - self.owed if self.owed <= cap else min(self.level, cap)
 
 
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, age: float) -> None:
+    def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, fresh: float) -> None:
+        """`fresh`: what the whole ceiling holds for a customer not seen yet."""
         self.name, self.plan, self.spread, self.seen = name, plan, spread, now
         self.most = most
         rate, burst = self.sizes()
         self.slice = Bucket(rate, burst, burst, now)
-        self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
-                              min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
+        self.ceiling = Bucket(plan.ceiling_rate / spread, plan.ceiling_burst / spread, fresh / spread, now)
         self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
-        self.open_limit = max(1, int(plan.open_limit / self.spread))
+        self.open_limit = max(1, int(plan.open_limit / spread))
 
     def resize(self, now: float, spread: int) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
         for bucket in (self.slice, self.ceiling):
             bucket.fits(now, 0.0)
+            bucket.owed = float("inf")  # what it holds is all it has
         self.spread = spread
-        self.slice.rate, self.slice.cap = self.sizes()
-        self.ceiling.rate = self.plan.ceiling_rate / spread
-        self.ceiling.cap = self.plan.ceiling_burst / spread
+        self._reform(now)
         for bucket in (self.slice, self.ceiling):
-            bucket.level = min(bucket.level, bucket.cap)
-        self.open_limit = max(1, int(self.plan.open_limit / self.spread))
+            bucket.owed = max(0.0, bucket.cap - bucket.level)
+
+    def replan(self, now: float, plan: api.Plan, most: float) -> None:
+        had = self.plan.ceiling_rate > 0
+        self.plan, self.most = plan, most
+        self._reform(now)
+        if not had:  # nobody kept count: as in a fresh process
+            self.ceiling.level, self.ceiling.owed = 0.0, self.ceiling.cap
+
+    def _reform(self, now: float) -> None:
+        plan, spread = self.plan, self.spread
+        self.slice.reform(now, *self.sizes())
+        self.ceiling.reform(now, plan.ceiling_rate / spread, plan.ceiling_burst / spread)
+        self.open_limit = max(1, int(plan.open_limit / spread))
 
     def sizes(self) -> tuple[float, float]:
         """The slice: an even part of the quota, and room for one request beside.  Danger: requests come in
@@ -97,7 +119,7 @@
         self.slice.fits(now, 0.0)
         self.ceiling.fits(now, 0.0)
         return api.CustomerState(self.name, self.plan.name, self.spread, self.slice.level, self.ceiling.level,
-                                 self.open + self.elsewhere)
+                                 self.open + self.elsewhere, self.slice.owed, self.ceiling.owed)
 
     def full(self) -> bool:
         return bool(self.plan.open_limit) and self.open + self.elsewhere >= self.open_limit
@@ -106,11 +128,12 @@
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
     def take(self, units: float) -> None:
-        self.slice.level = max(0.0, self.slice.level - units)
+        self.slice.level, self.slice.owed = max(0.0, self.slice.level - units), self.slice.owed + units
 
     def settle(self, units: float) -> None:
         """The answer told the true units: the difference is taken or given back."""
         self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
+        self.slice.owed = max(0.0, self.slice.owed + units)
 
 
 class Job:
@@ -263,6 +286,9 @@
                 del self.servers[name]
         self.present = [s for s in self.servers.values() if s.present]
         self.outliers.keep((s.info.id for s in self.present), now)
+        self.prefer()
+
+    def prefer(self) -> None:
         self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
         self.near = self.near[:SUBSET]
         for server in self.servers.values():
@@ -270,6 +296,14 @@
         for server in self.near:
             server.near = True
 
+    def adapt(self, settings: api.Settings) -> None:
+        """Other settings, the same servers."""
+        self.settings, self.patience = settings, max(c.aim for c in settings.classes)
+        self.outliers.adapt(settings, self.patience)
+        names = {c.name for c in settings.classes}
+        self.means = {name: mean for name, mean in self.means.items() if name in names}
+        self.prefer()
+
     def mean(self, cls: api.RequestClass) -> float:
         return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
 
@@ -396,6 +430,7 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
+        self.fresh: dict[str, Bucket] = {}  # the ceiling of a customer not seen yet, by plan
         self.fleet = Fleet(settings, self.rng)
         self.customers: dict[str, Customer] = {}
         self.jobs: dict[str, Job] = {}
@@ -416,6 +451,7 @@
         self.actions = []
         if self.born is None:
             self.born = now
+            self._begin(now, 0.0)
             self.actions.append(api.SetTimer(IDLE, TICK))
             if self.settings.ask_discovery:
                 self.actions.append(api.Subscribe())
@@ -447,6 +483,8 @@
                     self._copy(now)
                 elif token == TURNED and self.draining and now >= self.turned_at - self.settings.tick:
                     self.actions.append(api.LetGo(True))
+            case api.SettingsChanged(settings=settings):
+                self._change(now, settings)
             case api.Drain():
                 self._drain(now, event)
             case api.Twins():
@@ -477,6 +515,39 @@
         """What is shown of the servers' health."""
         return self.fleet.outliers.counts()
 
+    def _begin(self, now: float, age: float) -> None:
+        """Danger: the process before may just have spent what a ceiling holds: it starts empty."""
+        self.fresh = {p.name: Bucket(p.ceiling_rate, p.ceiling_burst,
+                                     min(p.ceiling_burst, p.ceiling_rate * age), now)
+                      for p in self.plans.values()}
+
+    def _fresh(self, now: float, plan: str) -> float:
+        self.fresh[plan].fits(now, 0.0)
+        return self.fresh[plan].level
+
+    def _change(self, now: float, settings: api.Settings) -> None:
+        """A plan that is gone takes nothing new; what its customers lack is kept until it has refilled, for
+        the plan may come back."""
+        before, self.settings = self.settings, settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+        fresh: dict[str, Bucket] = {}
+        for plan in settings.plans:
+            bucket = self.fresh.get(plan.name)
+            if bucket is not None and bucket.rate:
+                bucket.reform(now, plan.ceiling_rate, plan.ceiling_burst)
+            else:
+                bucket = Bucket(plan.ceiling_rate, plan.ceiling_burst, 0.0, now)
+            fresh[plan.name] = bucket
+        self.fresh = fresh
+        for customer in self.customers.values():
+            if customer.plan.name in self.plans:
+                customer.replan(now, self.plans[customer.plan.name], settings.most_units)
+        self.first_wait = {name: wait for name, wait in self.first_wait.items() if name in self.classes}
+        self.fleet.adapt(settings)
+        if settings.ask_discovery and not before.ask_discovery:
+            self.actions.append(api.Subscribe())
+
     def _drain(self, now: float, event: api.Drain) -> None:
         """Danger: a front that is not told sends on; clients whose connections close before it has turned
         away come back by new ones.  What still comes is let in like any other request."""
@@ -503,18 +574,26 @@
         fleet = self.fleet
         return api.Estate(now if self.born is None else self.born, self.called, fleet.typical, fleet.done,
                           dict(fleet.means), tuple(c.state(now) for c in self.customers.values()),
-                          tuple(s.state() for s in fleet.servers.values()))
+                          tuple(s.state() for s in fleet.servers.values()),
+                          {name: self._fresh(now, name) for name in self.fresh})
 
     def _inherit(self, now: float, estate: api.Estate) -> None:
         """Danger: a fresh process would hand out a second burst, and hold every ceiling to be empty."""
         fleet = self.fleet
         self.born = estate.born
+        self._begin(now, now - estate.born)
+        for name, level in estate.fresh.items():
+            if name in self.fresh:
+                bucket = self.fresh[name]
+                bucket.level, bucket.owed = min(level, bucket.cap), max(0.0, bucket.cap - level)
         fleet.means, fleet.typical = dict(estate.means), estate.typical
         fleet.done, fleet.done_at = estate.done, now
         for known in estate.customers:
             if known.plan in self.plans:
                 customer = self._customer(now, known.customer, self.plans[known.plan], known.spread)
                 customer.slice.level, customer.ceiling.level = known.slice_level, known.ceiling_level
+                customer.slice.owed = max(known.slice_owed, customer.slice.cap - known.slice_level)
+                customer.ceiling.owed = max(known.ceiling_owed, customer.ceiling.cap - known.ceiling_level)
                 customer.elsewhere = known.out
         for state in estate.backends:
             server = fleet.servers.get(state.id)
@@ -560,14 +639,16 @@
         if customer is not None and customer.spread != spread:
             customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
-            age = now - (self.born or 0.0)
-            most = self.settings.most_units
-            customer = self.customers[name] = Customer(name, plan, spread, most, now, age)
+            customer = self.customers[name] = Customer(
+                name, plan, spread, self.settings.most_units, now, self._fresh(now, plan.name))
         customer.seen = now
         return customer
 
     def _request(self, now: float, event: api.Request) -> None:
-        plan, cls = self.plans[event.plan], self.classes[event.request_class]
+        plan, cls = self.plans.get(event.plan), self.classes.get(event.request_class)
+        if plan is None or cls is None:  # it came as the settings changed
+            self.actions.append(api.Fail(event.id))
+            return
         customer = self._customer(now, event.customer, plan, event.spread)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -65,7 +65,8 @@
     return api.Estate(
         float(row["born"]), bool(row["draining"]), float(row["typical"]), float(row["done"]), row["means"],
         tuple(api.CustomerState(*state) for state in row["customers"]),
-        tuple(read_backend(state, form) for state in row["backends"]))
+        tuple(read_backend(state, form) for state in row["backends"]),
+        {str(name): float(level) for name, level in row.get("fresh", {}).items()})
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
@@ -78,7 +79,7 @@
         "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
                    "done": estate.done, "means": estate.means,
                    "customers": [astuple(c) for c in estate.customers],
-                   "backends": [astuple(b) for b in estate.backends]}}
+                   "backends": [astuple(b) for b in estate.backends], "fresh": estate.fresh}}
 
 
 @contextlib.contextmanager
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -107,7 +107,9 @@
                 await idle.answer()
             assert time.monotonic() - at >= 0.4
             with pytest.raises(ConnectionError):
-                await Caller.to(address)
+                while True:  # the listener closes a moment later
+                    (await Caller.to(address)).writer.close()
+                    await asyncio.sleep(0.01)
             ended.set()
             assert await slow.answer() == b"slow"
             with pytest.raises((EOFError, ConnectionError)):
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,264 @@
+"""A change of settings in the module: what is spent stays spent, what was taken goes on as it began."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulleinhall.interface import (
+    Fail,
+    Outcome,
+    Plan,
+    Probe,
+    Request,
+    RequestClass,
+    Settings,
+    SettingsChanged,
+    Subscribe,
+    Timer,
+)
+from mulleinhall.logic import IDLE, SUBSET, TICK, Gateway
+
+from .conftest import BASIC, SAFE, SETTINGS, Play, finals, sends
+
+FIXED = replace(SETTINGS, gateways=1, cold_time=0.0)
+
+
+def change(play: Play, *plans: Plan, **more: Any) -> None:
+    play.at(0.0, SettingsChanged(replace(play.gateway.settings, plans=plans, **more)))
+
+
+def spend(play: Play, most: int = 1000) -> int:
+    """Asks until it is refused; how many were sent on."""
+    count = 0
+    while count < most:
+        sent = sends(play.ask(spread=1))
+        if not sent:
+            break
+        count += 1
+        play.end(sent[0], after=0.0)
+    return count
+
+
+def play_of(*plans: Plan) -> Play:
+    return Play(replace(FIXED, plans=plans))
+
+
+def test_a_change_to_and_fro_hands_out_no_burst() -> None:
+    small, large = Plan("basic", rate=0.001, burst=10.0), Plan("basic", rate=0.001, burst=20.0)
+    play = play_of(small)
+    assert spend(play) == 10
+    change(play, large)
+    assert spend(play) == 10  # 20 in all, as the more generous one allows
+    for plan in (small, large) * 5:
+        change(play, plan)
+        assert spend(play) == 0
+
+
+def test_a_lower_burst_holds_at_once_and_refills_to_no_more() -> None:
+    play = play_of(Plan("basic", rate=1.0, burst=20.0))
+    assert spend(play, 5) == 5
+    change(play, Plan("basic", rate=1.0, burst=8.0))
+    assert spend(play) == 3  # 8, less the 5 that are spent
+    play.now += 100.0
+    assert spend(play) == 8
+
+
+def test_a_much_lower_burst_locks_nobody_out_and_still_forgets_nothing() -> None:
+    large, small = Plan("basic", rate=1.0, burst=1000.0), Plan("basic", rate=1.0, burst=5.0)
+    play = play_of(large)
+    assert spend(play) == 1000
+    change(play, small)
+    assert spend(play) == 0
+    play.now += 3.0
+    assert spend(play) == 3  # at the new rate, at once
+    change(play, large)
+    assert spend(play) == 0
+    play.now += 3.0
+    assert spend(play) == 3
+
+
+def test_a_rate_counts_for_the_time_it_was_in_force() -> None:
+    play = play_of(Plan("basic", rate=1.0, burst=50.0))
+    assert spend(play) == 50
+    play.now += 10.0
+    change(play, Plan("basic", rate=3.0, burst=50.0))
+    play.now += 10.0
+    assert spend(play) == 40
+
+
+def test_a_ceiling_is_not_raised_by_changes_and_starts_empty_where_there_was_none() -> None:
+    plan = Plan("basic", rate=1000.0, burst=1000.0, ceiling_rate=1.0, ceiling_burst=10.0)
+    play = play_of(plan)
+    play.now += 100.0
+    assert spend(play) == 10
+    for _ in range(3):
+        change(play, replace(plan, ceiling_burst=5.0))
+        assert spend(play) == 0
+        change(play, plan)
+        assert spend(play) == 0
+    change(play, replace(plan, ceiling_rate=0.0, ceiling_burst=0.0))
+    assert spend(play, 50) == 50  # it has none now
+    change(play, plan)
+    assert spend(play) == 0
+    play.now += 4.0
+    assert spend(play) == 4
+
+
+def test_a_customer_not_seen_yet_gets_no_more_than_its_ceiling_holds_by_then() -> None:
+    plan = Plan("basic", rate=1000.0, burst=1000.0, ceiling_rate=1.0, ceiling_burst=100.0)
+    play = play_of(plan)
+    play.now += 10.0
+    change(play, replace(plan, ceiling_rate=20.0))  # the ten seconds before count at one a second
+    play.now += 1.0
+    assert spend(play) == 30
+
+
+def test_a_plan_that_goes_and_comes_back_remembers_what_was_spent() -> None:
+    plan, other = Plan("basic", rate=0.1, burst=10.0), Plan("other", rate=1.0, burst=1.0)
+    play = play_of(plan, other)
+    assert spend(play) == 10
+    change(play, other)
+    assert finals(play.ask(spread=1)) == [Fail(f"r{play.count}")]
+    change(play, plan, other)
+    assert spend(play) == 0
+
+
+def test_the_state_of_a_plan_that_is_gone_is_let_go_once_it_has_refilled() -> None:
+    play = play_of(Plan("basic", rate=1.0, burst=10.0), Plan("other", rate=1.0, burst=1.0))
+    for n in range(20):
+        [send] = sends(play.ask(customer=f"c{n}"))
+        play.end(send)
+    change(play, Plan("other", rate=1.0, burst=1.0))
+    play.at(IDLE + 30.0, Timer(TICK))
+    assert not play.gateway.customers
+
+
+def test_open_requests_keep_the_class_plan_and_deadline_they_came_with() -> None:
+    play = play_of(BASIC)
+    [first] = sends(play.ask(spread=1))
+    job = play.gateway.jobs[first.id]
+    change(play, Plan("other", rate=1.0, burst=1.0), classes=(RequestClass("other", aim=0.1, deadline=0.2),))
+    assert (job.cls, job.plan, job.deadline) == (SAFE, BASIC, 104.0)
+    play.gateway.retries.level = 5.0
+    [again] = sends(play.end(first, Outcome.CONNECT_FAILED, after=0.5))  # more than the new deadline allows
+    assert again.id == first.id
+    assert play.end(again, attempt=1) == [] and not play.gateway.jobs
+    assert play.gateway.customers["c"].open == 0
+    assert finals(play.at(0.0, Request("late", "read", "basic", "c", 1.0))) == [Fail("late")]
+
+
+def test_a_cap_on_open_attempts_changes_for_those_that_come() -> None:
+    play = play_of(Plan("basic", rate=1000.0, burst=1000.0, open_limit=3))
+    assert len([s for _ in range(5) for s in sends(play.ask(spread=1))]) == 3
+    change(play, Plan("basic", rate=1000.0, burst=1000.0, open_limit=2))
+    assert not sends(play.ask(spread=1)) and play.gateway.customers["c"].open == 3
+
+
+def test_what_the_settings_say_of_the_fleet_changes_too() -> None:
+    play = Play(FIXED)
+    outliers = play.gateway.fleet.outliers
+    assert outliers.probe_period == pytest.approx(0.25)
+    actions = play.at(0.0, SettingsChanged(replace(
+        FIXED, classes=(replace(SAFE, aim=3.0),), gateways=100, number=7, probe_price=0.01,
+        ask_discovery=True)))
+    assert actions == [Subscribe()]
+    assert outliers.probe_period == pytest.approx(50.0) and outliers.patience == 3.0
+    assert play.gateway.fleet.patience == 3.0
+    assert len(play.gateway.fleet.near) <= SUBSET
+    assert not any(isinstance(a, Probe) for a in actions)
+
+
+def test_the_same_settings_again_change_nothing() -> None:
+    play = Play(FIXED)
+    spend(play, 3)
+    before = play.gateway.estate(play.now)
+    assert play.at(0.0, SettingsChanged(FIXED)) == []
+    assert play.gateway.estate(play.now) == before
+
+
+def test_an_heir_knows_what_the_ceilings_of_the_unseen_hold() -> None:
+    plan = Plan("basic", rate=1000.0, burst=1000.0, ceiling_rate=1.0, ceiling_burst=100.0)
+    old = play_of(plan)
+    old.now += 10.0
+    change(old, replace(plan, ceiling_rate=20.0))
+    new = play_of(replace(plan, ceiling_rate=20.0))
+    new.now = old.now
+    new.at(0.0, old.gateway.estate(old.now))
+    assert spend(new) == 10  # not 200: the rate is new
+
+
+BURSTS, RATES = (1.0, 3.0, 10.0, 40.0), (0.1, 1.0, 5.0)
+QUOTAS = st.builds(
+    lambda rate, burst: Plan("basic", rate=rate, burst=burst, ceiling_rate=1e6, ceiling_burst=1e6),
+    st.sampled_from(RATES), st.sampled_from(BURSTS))
+CEILINGS = st.builds(
+    lambda rate, burst: Plan("basic", rate=1e6, burst=1e6, ceiling_rate=rate, ceiling_burst=burst),
+    st.sampled_from(RATES), st.sampled_from(BURSTS))
+PLANS = st.one_of(QUOTAS, CEILINGS)
+
+
+def steps_of(plans: st.SearchStrategy[Plan]) -> st.SearchStrategy[tuple[Plan, list[tuple[str, object]]]]:
+    """A first plan, and what follows."""
+    return st.tuples(plans, st.lists(st.one_of(
+        st.tuples(st.just("ask"), st.integers(1, 50)),
+        st.tuples(st.just("wait"), st.sampled_from((0.1, 1.0, 7.0, 70.0))),
+        st.tuples(st.just("change"), st.one_of(st.none(), plans)),
+        st.tuples(st.just("back"), st.integers(1, 3))), min_size=1, max_size=30))
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(script=st.one_of(steps_of(QUOTAS), steps_of(CEILINGS)))
+def test_no_series_of_changes_lets_more_through_than_the_most_generous_one(
+        script: tuple[Plan, list[tuple[str, object]]]) -> None:
+    """Of the quota and of the ceiling: the largest burst in force so far, and each rate for its time."""
+    first, steps = script
+    gone = Plan("other", rate=1.0, burst=1.0)
+    play = play_of(first, gone)
+    kept, current, sent = [first], first, 0
+    quota, ceiling, burst, most = 0.0, 0.0, first.burst, first.ceiling_burst
+    for step, value in steps:
+        if step == "wait":
+            assert isinstance(value, float)
+            play.now += value
+            quota, ceiling = quota + current.rate * value, ceiling + current.ceiling_rate * value
+            play.at(0.0, Timer(TICK))
+        elif step == "ask":
+            assert isinstance(value, int)
+            sent += spend(play, value)
+        elif value is None:
+            change(play, gone)  # for a moment the plan is not there
+            assert spend(play) == 0
+            change(play, current, gone)
+        else:
+            current = value if isinstance(value, Plan) else kept[-min(int(str(value)), len(kept))]
+            kept.append(current)
+            change(play, current, gone)
+            burst, most = max(burst, current.burst), max(most, current.ceiling_burst)
+        assert sent <= burst + quota + 1.0 + 1e-6
+        assert sent <= most + ceiling + 1e-6
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(plans=st.lists(PLANS, min_size=1, max_size=6), gaps=st.lists(
+    st.floats(0.0, 30.0), min_size=6, max_size=6))
+def test_a_change_never_takes_away_what_has_refilled(plans: list[Plan], gaps: list[float]) -> None:
+    """After long enough a store is as full as its plan says, whatever came before."""
+    play = play_of(plans[0])
+    for plan, gap in zip(plans, gaps, strict=False):
+        change(play, plan)
+        spend(play, 3)
+        play.now += gap
+    play.now += 1e4
+    last = plans[-1]
+    assert spend(play) == min(last.burst, last.ceiling_burst)
+
+
+def test_settings_are_not_shared_between_gateways() -> None:
+    one, two = Gateway(FIXED, 1), Gateway(FIXED, 1)
+    one.handle(1.0, SettingsChanged(replace(FIXED, gateways=9)))
+    assert two.settings == FIXED and isinstance(two.settings, Settings)
