--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -1,4 +1,4 @@
-"""One real ingress: `python -m mulleinhall`, told what it needs by EDGE_CONFIG."""
+"""One real ingress: `python -m mulleinhall`, told what it needs by EDGE_CONFIG; `check FILE` checks one."""
 
 from __future__ import annotations
 
@@ -8,41 +8,35 @@
 import os
 import signal
 import sys
-from pathlib import Path
 
 import uvloop
 
-from mulleinhall.net.config import BadConfig, Config, read_config
+from mulleinhall.net.config import BadConfig, Config, load_config
 from mulleinhall.net.handover import CannotTakeOver, Taken, socket_path, take_over
 from mulleinhall.net.ingress import Ingress
 
 log = logging.getLogger(__name__)
 
 
-def load(path: str) -> Config:
-    try:
-        return read_config(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise BadConfig(f"EDGE_CONFIG: {error}") from error
-
-
 async def follow(path: str, ingress: Ingress, reload: asyncio.Event) -> None:
     """Reads the configuration anew each time that `reload` is set; one that can't be used changes nothing."""
     while True:
         await reload.wait()
         reload.clear()
         try:
-            ingress.move(await asyncio.to_thread(load, path))
+            await ingress.change(await asyncio.to_thread(load_config, path), "reload")
         except BadConfig as error:
-            log.error("reload: %s", error)
+            ingress.refuse("reload", str(error))
 
 
-async def serve(config: Config, path: str, taken: Taken | None) -> None:
+async def serve(config: Config, path: str, taken: Taken | None, early: list[int]) -> None:
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    if early:
+        reload.set()  # the file that was read may have been the one before
     ingress = Ingress(config, taken=taken, path=socket_path(config.listen))
     following = loop.create_task(follow(path, ingress, reload))
     await ingress.run(stop)
@@ -51,18 +45,39 @@
         await following
 
 
+def check(path: str) -> int:
+    """Whether a configuration could be used, with every fault of it; nothing else is done."""
+    try:
+        config = load_config(path)
+    except BadConfig as error:
+        for fault in error.faults:
+            print(fault)
+        return 2
+    for key in config.unknown:
+        print(f"{key}: unknown, ignored")
+    return 0
+
+
 def main() -> int:
+    match sys.argv[1:]:
+        case ["check", path]:
+            return check(path)
+        case [_, *_]:
+            print("usage: python -m mulleinhall [check FILE]", file=sys.stderr)
+            return 2
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
-    path = os.environ.get("EDGE_CONFIG", "")
+    path, early = os.environ.get("EDGE_CONFIG", ""), list[int]()
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))  # its default would end the process
     try:
         if not path:
-            raise BadConfig("EDGE_CONFIG: not set")
-        config = load(path)
+            raise BadConfig(["EDGE_CONFIG: not set"])
+        config = load_config(path)
     except BadConfig as error:
-        print(f"mulleinhall: {error}", file=sys.stderr)
+        for fault in error.faults:
+            print(f"mulleinhall: {fault}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config, path, take_over(socket_path(config.listen))))
+        uvloop.run(serve(config, path, take_over(socket_path(config.listen)), early))
     except CannotTakeOver as error:
         print(f"mulleinhall: take over: {error}", file=sys.stderr)
         return 1
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -239,8 +239,8 @@
                  writable: Callable[[Attempt], None], figures: Figures, budget: Budget) -> None:
         self.figures, self.budget, self.piece, self.writable = figures, budget, piece, writable
         self.buffer = memoryview(bytearray(LARGEST_WINDOW))  # what was read is taken out before the next read
-        self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
-        self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
+        self.most, self.connect_timeout, self.clock, self.ended = most, connect_timeout, clock, ended
+        self.set_times(idle_time, grace)
         self.loop = asyncio.get_running_loop()
         self.targets: dict[str, Target] = {}
         self.passing: set[Attempt] = set()  # attempts whose long value is passed on
@@ -248,6 +248,9 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
+    def set_times(self, idle_time: float, grace: float) -> None:
+        self.idle_time, self.grace = idle_time * IDLE_SHARE, grace * GRACE_SHARE
+
     # The list
 
     def change(self, full: bool, backends: tuple[Backend, ...],
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -29,6 +29,7 @@
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 BACKLOG = 512
+IDLE = 2.0  # s without a request after which a connection may be closed
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while clients are let go
 LAST_COMMAND = 2.0  # s for a command to end that had begun when clients were let go
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
@@ -406,6 +407,12 @@
         else:
             self.end()
 
+    def idle(self, now: float) -> bool:
+        """Whether it may be closed: nothing is open, begun or unread for as long as the terms ask."""
+        if self.slots or self.body is not None or self.guard.inside() or self.transport is None:
+            return False
+        return not self.transport.is_closing() and now - self.used > IDLE and not self._unread()
+
     def end(self) -> None:
         """Closes once what was written has gone out."""
         if self.transport is not None:
@@ -465,6 +472,7 @@
         self.letting_go: float | None = None  # since when connections are closed as they fall idle
         self.waiting, self.bad = False, 0
         self.accepting = True
+        self.settling = False  # more connections are there than a lower limit allows
         self.listener = listener or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setblocking(False)
         if listener is None:
@@ -493,7 +501,7 @@
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-            if len(self.connections) >= self.most and not self._spare():
+            if len(self.connections) >= self.most and (self.settling or not self._spare()):
                 # Guards against running out of descriptors: new ones wait until one leaves.
                 self.loop.remove_reader(self.listener)
                 self.waiting = True
@@ -521,6 +529,8 @@
         for client in list(self.connections):
             if client.transport is not None:
                 client.hurry(now)
+        if self.settling:
+            self._settle(now)
 
     def _close_listener(self) -> None:
         if self.listener.fileno() >= 0:
@@ -533,9 +543,21 @@
         self._go_on()
 
     def resize(self, most: int) -> None:
+        if most < self.most and len(self.connections) > most:
+            log.info("%d connections of clients, %d are allowed: idle ones go", len(self.connections), most)
+            self.settling = True
         self.most = most
         self._go_on()
 
+    def _settle(self, now: float) -> None:
+        """A lower limit: connections that have been idle for a while go, open requests stay."""
+        idle = sorted((c for c in self.connections if c.idle(now)), key=lambda c: c.used)
+        for client in idle[:max(0, len(self.connections) - self.most)]:
+            client.end()
+        if len(self.connections) <= self.most:
+            self.settling = False
+            log.info("%d connections of clients: within the limit of %d", len(self.connections), self.most)
+
     def _go_on(self) -> None:
         if self.waiting and self.accepting and len(self.connections) < self.most:
             self.waiting = False
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -2,25 +2,32 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import os
-from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import Any, TypeVar
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
 
 from mulleinhall.interface import Settings
 from mulleinhall.net.discovery import Listing, read_listing
+from mulleinhall.net.files import CannotRead, read_text
+from mulleinhall.net.schema import Anything, Check, Flag, Many, Number, Shape, Spec, Text, parse
 from mulleinhall.wire import read_settings
 
-T = TypeVar("T")
 Address = tuple[str, int]
 
 SPARE_FILES = 48  # descriptors that are no peer's: standard streams, the loop's own, counter, discovery
 LEAST_SOCKETS = 64
+LEAST_MEMORY_MB = 24  # the program itself takes 20
 
 
 class BadConfig(Exception):
-    """The configuration can't be used; the text names the key."""
+    """The configuration can't be used; each fault names its key."""
+
+    def __init__(self, faults: Sequence[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = list(faults)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,70 +46,161 @@
     idle_time: float  # after which a backend closes an idle connection
     most_open: int
     memory: int  # bytes
-
-
-def _get(source: Mapping[str, Any], key: str, kind: type[T]) -> T:
-    if key not in source:
-        raise BadConfig(f"{key}: missing")
-    value = source[key]
-    if not isinstance(value, kind):
-        raise BadConfig(f"{key}: {value!r} is not of type {kind.__name__}")
-    return value
+    unknown: tuple[str, ...] = ()  # keys that mean nothing here
+    # What was read, without the seed and the list (neither alone is a change) and without the second address,
+    # which each process of an ingress has for itself.
+    document: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
+    digest: str = field(default="", compare=False)
+    size: int = field(default=0, compare=False)  # bytes of it
 
 
 def read_address(text: str, key: str) -> Address:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise BadConfig(f"{key}: {text!r} is not an address and port")
+        raise BadConfig([f"{key}: {text!r} is not an address and port"])
     return host, int(port)
 
 
-def _positive(source: Mapping[str, Any], key: str, default: float) -> float:
-    value = source.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < float("inf"):
-        raise BadConfig(f"{key}: {value!r} is not a number above 0")
-    return float(value)
+def _object(**fields: Spec) -> dict[str, Spec]:
+    return {name.replace("_", "-"): spec for name, spec in fields.items()}
+
+
+AMOUNT, MORE, COUNT = Number(), Number(above=True), Number(whole=True)
+CLASS = Shape(
+    _object(name=Text(), aim_s=MORE, give_up_s=MORE, importance=AMOUNT, late_worth=AMOUNT,
+            semantics=Text(("safe", "keyed", "unsafe")), key_scope=Text(("all", "zone", "cell"), empty=True),
+            dedup_window_s=AMOUNT, aim_stretch=AMOUNT, stream=Flag()),
+    frozenset({"name", "aim-s", "give-up-s", "importance", "semantics"}), frozenset({"key-scope"}))
+PLAN = Shape(
+    _object(name=Text(), refill=AMOUNT, burst=AMOUNT, at_once=COUNT, worth_factor=AMOUNT, over_worth=AMOUNT,
+            excess_cost=AMOUNT, hard_rate=AMOUNT, ceiling_burst=AMOUNT, cap_slack=AMOUNT),
+    frozenset({"name", "refill", "burst"}))
+LIMITS = _object(
+    max_attempts=Number(1, whole=True), second_copies=Flag(), cancel=Flag(), probing=Flag(), peers=Flag(),
+    connect_timeout_s=MORE, keepalive_s=MORE, max_open=MORE, cpu_us_per_request=AMOUNT,
+    cpu_us_per_s=AMOUNT, max_retry_after_s=AMOUNT, max_streams=AMOUNT, retry_after=Flag())
+RULES = _object(
+    answer_slack_s=AMOUNT, drain_grace_s=AMOUNT, cold_s=AMOUNT, start_capacity=AMOUNT, overload_factor=AMOUNT,
+    fall_s=AMOUNT, ask_within_s=AMOUNT)
+INFO = _object(
+    counter=Flag(), count_fee=AMOUNT, count_wait_s=AMOUNT, mail_per_s=AMOUNT, meter_s=AMOUNT,
+    cost_after=Flag(), most_units=Number(1))
+NAMED: dict[str, Spec] = dict.fromkeys(  # what the settings hold beside and this program makes no use of
+    ("clients", "goal", "localities", "service-type", "shapes", "stage", "stages", "weight-kind"), Anything())
+REPORT = Shape(_object(columns=Many(Text()), how=Text()))
+PRICES = Shape(_object(probe=AMOUNT) | dict.fromkeys(
+    ("connection", "cross-zone", "handshake", "late-fail", "membership-mode", "moves", "origin", "peer",
+     "waste", "fleet", "counter"), Anything()))
+SETTINGS = Shape(
+    NAMED | _object(
+        balancers=Number(1, whole=True), self_index=COUNT, zone=Text(empty=True), tick_s=MORE,
+        membership_mode=Text(), categories=Many(CLASS, 1, "name"), contracts=Many(PLAN, 1, "name"),
+        limits=Shape(LIMITS), rules=Shape(RULES), family_info=Shape(INFO), prices=PRICES, report=REPORT),
+    frozenset({"balancers", "self-index", "categories", "contracts", "limits", "rules", "family-info"}))
+OWN_LIMITS = Shape({"cores": MORE, "memory_mb": Number(LEAST_MEMORY_MB),
+                    "sockets": Number(LEAST_SOCKETS, 1 << 20, whole=True)})
+DOCUMENT = Shape(
+    {"name": Text(), "listen": Text(), "discovery": Text(), "counter": Text(), "control": Text(),
+     "seed": Text(), "limits": OWN_LIMITS, "known": Anything(), "settings": SETTINGS},
+    frozenset({"name", "listen", "discovery", "seed", "limits", "settings"}),
+    frozenset({"known", "counter", "control"}))
+
+
+def same_but(config: Config, document: Mapping[str, Any]) -> Config:
+    """The configuration of this process, with what another's says of all that both share."""
+    host_port = None if config.control is None else f"{config.control[0]}:{config.control[1]}"
+    own = {"seed": f"{config.seed:x}"} | ({} if host_port is None else {"control": host_port})
+    return read_config(json.dumps(dict(document) | own))
+
+
+def load_config(path: str) -> Config:
+    """The configuration in a file."""
+    try:
+        return read_config(read_text(path))
+    except CannotRead as error:
+        raise BadConfig([f"EDGE_CONFIG: {error}"]) from error
 
 
 def read_config(text: str) -> Config:
+    """Start-up, reloads and the check all read a configuration here.  BadConfig has every fault."""
     try:
-        source = json.loads(text)
+        source = parse(text)
     except ValueError as error:
-        raise BadConfig(f"EDGE_CONFIG: not JSON: {error}") from None
+        raise BadConfig([f"EDGE_CONFIG: not JSON: {error}"]) from None
+    check = Check()
+    check.value(source, DOCUMENT, "")
     if not isinstance(source, dict):
-        raise BadConfig("EDGE_CONFIG: not an object")
-    seed = _get(source, "seed", str)
-    try:
-        number = int(seed, 16)
-    except ValueError:
-        raise BadConfig(f"seed: {seed!r} is not a hexadecimal number") from None
-    env = _get(source, "settings", dict)
-    try:
-        settings = read_settings(env)
-    except KeyError as error:
-        raise BadConfig(f"settings: {error} is missing") from None
-    except (TypeError, ValueError, AttributeError) as error:
-        raise BadConfig(f"settings: {error}") from None
+        raise BadConfig(check.faults)
+    _contradictions(source, check)
+    addresses = {key: _address(source.get(key), key, check) for key in ("listen", "discovery", "counter")}
+    control = source.get("control") or os.environ.get("EDGE_CONTROL")
+    addresses["control"] = _address(control, "control", check)
+    second = addresses["control"]
+    if second and second[1] and second == addresses["listen"]:  # port 0 is any
+        check.fault("control", "is the address where clients connect")
+    known = Listing(0, True, (), {})
     try:
         known = read_listing(source.get("known") or {"version": 0, "full": True, "servers": []})
     except ValueError as error:
-        raise BadConfig(f"known: {error}") from None
-    limits, own = env["limits"], _get(source, "limits", dict)
-    sockets = int(_positive(own, "sockets", 1024))
-    if sockets < LEAST_SOCKETS:
-        raise BadConfig(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} are needed")
-    counter = _get(source, "counter", str) if settings.counter else None
-    control = _get(source, "control", str) if "control" in source else os.environ.get("EDGE_CONTROL")
+        check.fault("known", str(error))
+    if check.faults:
+        raise BadConfig(check.faults)
+    env, own = source["settings"], source["limits"]
+    try:
+        settings = read_settings(env)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadConfig([f"settings: {error}"]) from None
+    limits, sockets = env["limits"], own.get("sockets", 1024)
     # Guards against running out of descriptors: all parts together stay under the limit.
     share = (sockets - min(SPARE_FILES, sockets // 2)) // 2
+    document = {key: value for key, value in source.items() if key not in ("seed", "known", "control")}
+    canonical = json.dumps(document, sort_keys=True).encode()
+    listen, discovery = addresses["listen"], addresses["discovery"]
+    assert listen is not None and discovery is not None  # else there is a fault
     return Config(
-        name=_get(source, "name", str),
-        listen=read_address(_get(source, "listen", str), "listen"),
-        discovery=read_address(_get(source, "discovery", str), "discovery"),
-        counter=None if counter is None else read_address(counter, "counter"),
-        control=read_address(control, "control") if control else None,
-        seed=number, client_sockets=share, backend_sockets=share, known=known, settings=settings,
-        connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
-        idle_time=_positive(limits, "keepalive-s", 15.0),
-        most_open=int(_positive(limits, "max-open", 20000)),
-        memory=int(_positive(own, "memory_mb", 128) * (1 << 20)))
+        name=source["name"], listen=listen, discovery=discovery,
+        counter=addresses["counter"] if settings.counter else None, control=addresses["control"],
+        seed=int(source["seed"], 16), client_sockets=share, backend_sockets=share, known=known,
+        settings=settings, connect_timeout=float(limits.get("connect-timeout-s", 0.25)),
+        idle_time=float(limits.get("keepalive-s", 15.0)), most_open=int(limits.get("max-open", 20000)),
+        memory=int(own.get("memory_mb", 128) * (1 << 20)), unknown=tuple(check.unknown),
+        document=document, digest=hashlib.sha256(canonical).hexdigest()[:12], size=len(canonical))
+
+
+def _address(text: Any, key: str, check: Check) -> Address | None:
+    if isinstance(text, str) and text:
+        try:
+            return read_address(text, key)
+        except BadConfig as error:
+            check.faults += error.faults
+    return None
+
+
+def _items(source: Any, key: str) -> list[dict[str, Any]]:
+    found = source.get(key)
+    return [row for row in found if isinstance(row, dict)] if isinstance(found, list) else []
+
+
+def _contradictions(source: dict[str, Any], check: Check) -> None:
+    """What is well-formed for itself and can't hold together."""
+    seed, env = source.get("seed"), source.get("settings")
+    if isinstance(seed, str) and seed:
+        try:
+            int(seed, 16)
+        except ValueError:
+            check.fault("seed", f"{seed[:40]!r} is not a hexadecimal number")
+    if not isinstance(env, dict):
+        return
+    info, index, count = env.get("family-info"), env.get("self-index"), env.get("balancers")
+    if isinstance(info, dict) and info.get("counter") is True and not source.get("counter"):
+        check.fault("counter", "missing, and settings.family-info.counter says that there is one")
+    if isinstance(index, int) and isinstance(count, int) and 1 <= count <= index:
+        check.fault("settings.self-index", f"{index} is not below settings.balancers, {count}")
+    for number, row in enumerate(_items(env, "categories")):
+        aim, last = row.get("aim-s"), row.get("give-up-s")
+        if isinstance(aim, int | float) and isinstance(last, int | float) and last < aim:
+            check.fault(f"settings.categories[{number}].give-up-s", f"{last!r} is less than aim-s, {aim!r}")
+    for number, row in enumerate(_items(env, "contracts")):
+        if row.get("hard-rate") and row.get("ceiling-burst") in (None, 0, 0.0):
+            check.fault(f"settings.contracts[{number}].ceiling-burst",
+                        "is 0 under a hard-rate: nothing could pass")
--- a/mulleinhall/net/control.py
+++ b/mulleinhall/net/control.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import cast
 
 from mulleinhall.net.clock import Clock
@@ -24,6 +24,7 @@
 
     def __init__(self, server: Control) -> None:
         self.server, self.came, self.line = server, server.clock(), b""
+        self.asked = False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -33,12 +34,23 @@
     def data_received(self, data: bytes) -> None:
         if self.transport is None or self.transport.is_closing():
             return  # one line a connection: what follows the first is not read
+        if self.asked:
+            return
         line, end, _ = (self.line + data).partition(b"\n")
         if not end and len(line) <= LONGEST:
             self.line = line
             return
-        self.transport.write(self.server.answer(line.decode("utf-8", "replace").strip()).encode() + b"\n")
-        self.transport.close()
+        self.asked = True
+        answer = self.server.answer(line.decode("utf-8", "replace").strip())
+        if isinstance(answer, str):
+            self.say(answer)
+        else:
+            self.server.later(self, answer)
+
+    def say(self, text: str) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(text.encode() + b"\n")
+            self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.callers.pop(self, None)
@@ -51,7 +63,9 @@
 class Control:
     """The listener; `call` answers a line."""
 
-    def __init__(self, address: tuple[str, int], call: Callable[[str], str], clock: Clock) -> None:
+    def __init__(self, address: tuple[str, int], call: Callable[[str], str | Awaitable[str]],
+                 clock: Clock) -> None:
+        self.tasks: set[asyncio.Task[None]] = set()
         self.loop, self.call, self.clock = asyncio.get_running_loop(), call, clock
         self.callers: dict[Caller, None] = {}  # in the order in which they came
         self.server: asyncio.Server | None = None
@@ -69,7 +83,21 @@
         if len(self.callers) > MOST:
             next(iter(self.callers)).end()
 
-    def answer(self, line: str) -> str:
+    def later(self, caller: Caller, answer: Awaitable[str]) -> None:
+        """An answer that other processes have a say in."""
+        task = self.loop.create_task(self._later(caller, answer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _later(self, caller: Caller, answer: Awaitable[str]) -> None:
+        try:
+            text = await answer
+        except Exception:
+            log.exception("a call failed")  # guards the process against a fault in one call
+            text = "fail internal error"
+        caller.say(text)
+
+    def answer(self, line: str) -> str | Awaitable[str]:
         try:
             return self.call(line)
         except Exception:
@@ -89,5 +117,7 @@
         if self.server is not None:
             self.server.close()
         self.listener.close()
+        for task in self.tasks:
+            task.cancel()
         for caller in list(self.callers):
             caller.end()
--- a/mulleinhall/net/figures.py
+++ b/mulleinhall/net/figures.py
@@ -21,6 +21,11 @@
         self.ends = {(name, end): 0 for name in classes for end in End}
         self.outstanding, self.forwards = 0, 0
 
+    def know(self, classes: Iterable[str]) -> None:
+        """Classes that come later; what was counted for those that go stays."""
+        for key in ((name, end) for name in classes for end in End):
+            self.ends.setdefault(key, 0)
+
     def taken(self) -> None:
         self.outstanding += 1
 
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -44,6 +44,7 @@
             self.listing = Listing(int(message["version"]), True, tuple(infos), {
                 name: (host, port) for name, (host, port) in message["addresses"].items()})
             self.estate = read_estate(message["estate"], message["form"])
+            self.document: Mapping[str, Any] | None = message.get("document")
         except (KeyError, TypeError, ValueError) as error:
             raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
 
@@ -70,10 +71,10 @@
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
-         estate: api.Estate) -> dict[str, Any]:
+         estate: api.Estate, document: Mapping[str, Any]) -> dict[str, Any]:
     """The first message to a process that takes over."""
     return {
-        "form": FORM, "version": version, "addresses": addresses,
+        "form": FORM, "document": document, "version": version, "addresses": addresses,
         "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
                      if info.id in addresses],
         "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
@@ -130,6 +131,8 @@
 
     def twins_changed(self) -> None: ...
 
+    def link_lost(self, link: Link) -> None: ...
+
     def heard(self, link: Link, message: Mapping[str, Any]) -> None: ...
 
 
@@ -182,7 +185,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.handover.links.discard(self)
-        self.handover.owner.twins_changed()
+        self.handover.owner.link_lost(self)
 
 
 class Handover:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -5,26 +5,29 @@
 import asyncio
 import contextlib
 import logging
+import os
 import random
 import socket
 from collections import deque
-from collections.abc import Mapping
-from dataclasses import astuple
+from collections.abc import Awaitable, Mapping
+from dataclasses import astuple, dataclass
 from math import ceil
 from pathlib import Path
 from typing import Any
 
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
+from mulleinhall.net.agreement import UNDER_WAY, Agreement
 from mulleinhall.net.backends import Attempt, Backends
 from mulleinhall.net.budget import Budget
-from mulleinhall.net.clients import Clients, Command, Slot, bulk
+from mulleinhall.net.clients import Clients, Command, CommandReader, Slot, bulk
 from mulleinhall.net.clock import Clock, unix_clock
-from mulleinhall.net.config import Config
+from mulleinhall.net.config import BadConfig, Config, same_but
 from mulleinhall.net.control import Control
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery, Listing
 from mulleinhall.net.figures import End, Figures
+from mulleinhall.net.generations import MOST_SHOWN, Generations
 from mulleinhall.net.handover import Handover, Link, Taken, will
 from mulleinhall.net.probes import Check
 
@@ -37,6 +40,8 @@
 MOST_DEADLINE = 3.0  # s
 LAST_WORD = 0.25  # s before the earliest SIGKILL: when the rest is answered
 HELD_EVERY = 0.1  # s between words to another process on what this one holds
+SETTLE = 0.2  # s between looks whether a lower limit is kept again
+TURNS = 20  # times that a reload waits for its turn among other changes
 FLUSH = 0.1  # s for the last answers to go out
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
@@ -77,12 +82,23 @@
     return command.wait - min(MARGIN, command.wait / 10)
 
 
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """A generation that can be committed."""
+
+    config: Config
+    commands: CommandReader
+    counter: Counter | None
+
+
 class Ingress:
     """One ingress.  It decides nothing: whom to let in and where to send is the Gateway's."""
 
     def __init__(self, config: Config, clock: Clock | None = None, taken: Taken | None = None,
                  path: Path | None = None) -> None:
         self.config, self.settings, self.clock = config, config.settings, clock or unix_clock()
+        self.generations = Generations(config)
+        self.agreement = Agreement(self, f"{config.name}-{os.getpid()}")
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
         self.open: dict[str, Open] = {}
@@ -116,6 +132,7 @@
         if self.taken is not None:
             self.listed(api.ListKind.RESTORED, self.taken.listing)
             self.feed(self.taken.estate)
+            self._join(self.taken.document)
         self.clients.open()
         if self.control is not None:
             await self.control.open()
@@ -134,17 +151,127 @@
             self.control.close()
         if self.handover is not None:
             self.handover.close()
+        self.agreement.close()
         if self.teller is not None:
             self.teller.cancel()
         if self.counter is not None:
             self.counter.close()
 
-    def move(self, config: Config) -> None:
-        """A reload: discovery and the counter are sought where the new configuration has them."""
-        log.info("%s reloads: discovery %s:%d", self.config.name, *config.discovery)
-        self.discovery.move(config.discovery)
-        if self.counter is not None and config.counter is not None:
+    # Changes of the configuration
+
+    async def change(self, config: Config, cause: str) -> str:
+        """Makes it the present generation of all processes, whole, or says why not and changes nothing."""
+        key = self.generations.fixed(config)
+        if key:
+            return self.refuse(cause, f"{key} can't change in a running process")
+        if config.digest == self.generations.current.config.digest:
+            log.info("%s: %s: nothing has changed", config.name, cause)
+            return ""
+        for _ in range(TURNS):
+            reason = await self.agreement.change(config.document, cause)
+            if reason != UNDER_WAY:
+                break
+        return self._told(cause, reason)
+
+    def _join(self, document: Mapping[str, Any] | None) -> None:
+        """A process that comes runs what the one before runs, whatever its file says by now."""
+        if document is None:
+            return  # of a build that did not tell
+        reason, plan = self.plan(document)
+        if reason:
+            self.refuse("take over", reason)
+        elif plan is not None:
+            self.carry_out(plan, "take over", False)
+
+    async def revert(self) -> str:
+        reason = self._told("revert", await self.agreement.change(None, "revert"))
+        return f"fail {reason}" if reason else "ok"
+
+    def _told(self, cause: str, reason: str) -> str:
+        return self.refuse(cause, reason) if reason else ""
+
+    def plan(self, document: Mapping[str, Any]) -> tuple[str, Prepared | None]:
+        try:
+            config = same_but(self.config, document)
+            key = self.generations.fixed(config)
+            if key:
+                return f"{key} can't change in a running process", None
+            if config.digest == self.generations.current.config.digest:
+                return "", None
+            return "", self._prepare(config)
+        except BadConfig as error:
+            return str(error), None
+        except Exception as error:
+            log.exception("a change can't be prepared")
+            return f"{type(error).__name__}: {error}", None
+
+    def carry_out(self, plan: Prepared, cause: str, back: bool) -> None:
+        again = plan.config.digest == self.generations.reverted
+        if back and len(self.generations.kept) > 1:
+            cause = f"{cause} to {self.generations.kept[-2].number}"
+        generation = self.generations.accept(plan.config, cause, back)
+        self._commit(plan)
+        log.info("%s: %s: generation %d (%s)%s", self.config.name, cause, generation.number,
+                 plan.config.digest, ", the one that was reverted" if again else "")
+        for line in self.generations.changed[:MOST_SHOWN]:
+            log.info("%s: %s", self.config.name, line)
+
+    def before(self) -> Mapping[str, Any] | None:
+        kept = self.generations.kept
+        return kept[-2].config.document if len(kept) > 1 else None
+
+    def elder(self) -> Link | None:
+        links = self.handover.links if self.handover is not None else ()
+        return next((link for link in links if not link.after), None)
+
+    def younger(self) -> list[Link]:
+        links = self.handover.links if self.handover is not None else ()
+        return [link for link in links if link.after]
+
+    def refuse(self, cause: str, reason: str) -> str:
+        self.generations.refuse(cause, reason)
+        log.error("%s: %s", cause, reason)
+        return reason
+
+    def _prepare(self, config: Config) -> Prepared:
+        """All that can fail, and changes nothing."""
+        commands, counter = CommandReader(config.settings), None
+        if config.counter is not None and self.counter is None:
+            counter = Counter(config.counter, config.settings.counter_timeout, self.clock, self.feed)
+        return Prepared(config, commands, counter)
+
+    def _commit(self, prepared: Prepared) -> None:
+        """One step: no event comes between its parts.  Nothing in it waits or can fail."""
+        old, config = self.config, prepared.config
+        self.config, self.settings = config, config.settings
+        self.clients.commands = prepared.commands
+        self.figures.know(c.name for c in config.settings.classes)
+        self.backends.connect_timeout = config.connect_timeout
+        self.backends.set_times(config.idle_time, config.settings.drain_grace)
+        self.budget.memory = config.memory
+        self._divide()
+        self._settle()
+        if config.discovery != old.discovery:
+            self.discovery.move(config.discovery)
+        if config.counter is None:
+            counter, self.counter = self.counter, None
+            if counter is not None:
+                counter.close()
+        elif self.counter is None:
+            self.counter = prepared.counter
+        else:
+            self.counter.timeout = config.settings.counter_timeout
             self.counter.move(config.counter)
+        self.feed(api.SettingsChanged(config.settings))
+
+    def _settle(self, told: bool = False) -> None:
+        """Less memory than is held: what is there goes on, and new requests are refused until it fits."""
+        over = self.budget.used() > self.budget.total()
+        if over is not told:
+            log.info("%s holds %d bytes, %d are allowed: new requests are %s", self.config.name,
+                     self.budget.used(), self.budget.total(), "refused" if over else "taken again")
+        if over:
+            self.loop.call_later(SETTLE, self._settle, True)
 
     async def _drain(self) -> None:
         """The process ends: what is held is answered, before the earliest SIGKILL whatever happens."""
@@ -166,7 +293,7 @@
             await asyncio.sleep(0.01)
         log.info("%s ends", self.config.name)
 
-    def _call(self, line: str) -> str:
+    def _call(self, line: str) -> str | Awaitable[str]:
         """The answer to a call at the second address."""
         match line:
             case "ready":
@@ -175,6 +302,10 @@
                 lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()),
                                            self.gateway.health())
                 return "\n".join([*lines, "eof"])
+            case "show-config":
+                return "\n".join([*self.generations.lines(), "eof"])
+            case "revert":
+                return self.revert()
             case "drain" | "resume" if self.ending:
                 return "fail ending"
             case "drain" | "resume":
@@ -194,7 +325,7 @@
         infos = [s.info for s in self.gateway.fleet.servers.values()]
         return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
                 will(self.discovery.version or 0, infos, self.backends.addresses(),
-                     self.gateway.estate(self.clock())))
+                     self.gateway.estate(self.clock()), self.config.document))
 
     def twins_changed(self) -> None:
         assert self.handover is not None
@@ -206,6 +337,10 @@
         self.feed(api.Twins(len(self.handover.links), self.successor is not None))
         self._divide()
 
+    def link_lost(self, link: Link) -> None:
+        self.agreement.lost(link)
+        self.twins_changed()
+
     def heard(self, link: Link, message: Mapping[str, Any]) -> None:
         match message:
             case {"serving": _}:
@@ -219,6 +354,8 @@
                     self.handover.tell(message, link)
             case {"drain": on}:
                 self._drain_all(bool(on), link)
+            case {"change": step}:
+                self.agreement.heard(link, step)
             case {"held": row}:
                 link.held = tuple(row)
                 self._divide()
--- /dev/null
+++ b/tests/test_net_changes.py
@@ -0,0 +1,590 @@
+"""Configuration changes: whole or not at all, shown, and taken back."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import signal
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulleinhall.interface import Settings, SettingsChanged
+from mulleinhall.net.agreement import READY_WITHIN, SETTLED_WITHIN, SILENT, TURN_WITHIN, UNDER_WAY
+from mulleinhall.net.config import Config, read_config
+from mulleinhall.net.counter import Counter
+from mulleinhall.net.figures import End
+from mulleinhall.net.generations import MOST_KEPT, Generations, differences
+from mulleinhall.net.ingress import Ingress
+from tests.conftest import BASIC, Play, sends
+from tests.peers import (
+    SETTINGS,
+    Caller,
+    Peer,
+    Reader,
+    Writer,
+    backend,
+    command,
+    config,
+    config_text,
+    entry,
+    read_command,
+    run,
+    until,
+    value,
+)
+from tests.test_net_control import SECOND, call
+from tests.test_net_handover import process
+from tests.test_net_ingress import serving
+from tests.test_net_restart import free_port, program, start
+from tests.test_settings import FIXED
+
+PLAN = SETTINGS["contracts"][0]
+
+
+def plain(peer: Peer) -> Config:
+    return config(entry(peer.address), control=SECOND)
+
+
+def with_plan(**changes: Any) -> dict[str, Any]:
+    return SETTINGS | {"contracts": [PLAN | changes]}
+
+
+def like(served: Ingress, **changes: Any) -> Config:
+    """The configuration that runs, with changes."""
+    own = {"seed": "1", "control": SECOND}
+    return read_config(json.dumps(dict(served.config.document) | own | changes))
+
+
+def state(served: Ingress) -> dict[str, Any]:
+    """All that can be observed of what a change may touch."""
+    g = served.gateway
+    return {
+        "config": served.config, "settings": served.settings, "module": g.settings,
+        "classes": dict(g.classes), "plans": dict(g.plans), "estate": g.estate(100.0),
+        "fleet": g.fleet.settings,
+        "outliers": (g.fleet.outliers.settings, g.fleet.outliers.probe_period, g.fleet.outliers.patience),
+        "commands": served.clients.commands, "most": (served.clients.most, served.backends.most),
+        "times": (served.backends.connect_timeout, served.backends.idle_time, served.backends.grace),
+        "memory": served.budget.memory, "figures": dict(served.figures.ends),
+        "discovery": (served.discovery.address, served.discovery.version, served.discovery.settled,
+                      served.discovery.asking),
+        "counter": served.counter, "generations": list(served.generations.kept),
+        "changed": list(served.generations.changed)}
+
+
+async def said(served: Ingress, line: bytes) -> str:
+    return (await call(served, line)).strip()
+
+
+async def shown(served: Ingress) -> dict[str, list[str]]:
+    lines = (await call(served, b"show-config")).splitlines()
+    assert lines.pop() == "eof"
+    found: dict[str, list[str]] = {}
+    for line in lines:
+        key, _, text = line.partition(": ")
+        found.setdefault(key, []).append(text)
+    return found
+
+
+def test_a_change_is_applied_whole_and_shown() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, address):
+            caller = await Caller.to(address)
+            before = await shown(served)
+            assert [before[key] for key in ("generation", "cause", "refused")] == [["1"], ["start"], ["none"]]
+            extra = SETTINGS["categories"][0] | {"name": "extra"}
+            less = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
+            assert not await served.change(like(served, limits=less,
+                                          settings=SETTINGS | {
+                                              "categories": [*SETTINGS["categories"], extra],
+                                              "contracts": [PLAN | {"refill": 7.0}, PLAN | {"name": "gold"}],
+                                              "limits": SETTINGS["limits"] | {"max-attempts": 2}}), "reload")
+            after = await shown(served)
+            assert after["generation"] == ["2"] and after["digest"] != before["digest"]
+            assert "settings.contracts[basic].refill: 100.0 -> 7.0" in after["differs"]
+            assert "settings.limits.max-attempts: 4 -> 2" in after["differs"]
+            assert "limits.memory_mb: 192 -> 64" in after["differs"]
+            assert served.gateway.plans["basic"].rate == 7.0 and served.budget.memory == 64 << 20
+            assert served.clients.most == served.config.client_sockets < 256
+            new = command().replace(b"c=read", b"c=extra").replace(b"$41", b"$42")
+            words = new.split(b"\r\n")
+            words[-2] = words[-2].replace(b"t=basic", b"t=gold")
+            words[-3] = b"$%d" % len(words[-2])
+            assert await caller.ask(b"\r\n".join(words)) == b"00000000000000aa"
+            assert served.figures.ends["extra", End.SUCCEEDED] == 1
+
+    run(body())
+
+
+@pytest.mark.parametrize(("key", "text"), [
+    ("name", "another"), ("listen", "127.0.0.1:1"), ("control", "127.0.0.1:2")])
+def test_what_cannot_change_refuses_the_whole_change(key: str, text: str) -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, _):
+            before = state(served)
+            new = like(served, settings=with_plan(refill=7.0), **{key: text})
+            reason = await served.change(new, "reload")
+            assert reason == f"{key} can't change in a running process"
+            assert state(served) == before
+            [refused] = (await shown(served))["refused"]
+            assert refused.startswith("reload at ") and refused.endswith(reason)
+
+    run(body())
+
+
+def test_a_failure_at_each_step_of_preparing_leaves_everything_as_it_was(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, address):
+            caller = await Caller.to(address)
+            told = SETTINGS | {"family-info": {"counter": True, "count-wait-s": 0.1},
+                               "contracts": [PLAN | {"refill": 7.0}]}
+            new = like(served, counter="127.0.0.1:1", discovery="127.0.0.1:2", settings=told)
+
+            def fail(*_: object) -> None:
+                raise RuntimeError("injected")
+
+            for step in ("CommandReader", "Counter", "Prepared"):
+                before = state(served)
+                with monkeypatch.context() as patch:
+                    patch.setattr(f"mulleinhall.net.ingress.{step}", fail)
+                    assert await served.change(new, "reload") == "RuntimeError: injected"
+                assert state(served) == before
+                assert await caller.ask(command()) == b"00000000000000aa"
+            assert not await served.change(new, "reload")
+            assert isinstance(served.counter, Counter)
+            assert not await served.change(like(served, counter=None, settings=SETTINGS), "reload")
+            assert served.counter is None
+
+    run(body())
+
+
+def test_a_seed_or_an_older_list_alone_is_no_change() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, _):
+            before = state(served)
+            older = {"version": 0, "full": True, "servers": list[Any]()}
+            assert not await served.change(like(served, seed="77", known=older), "reload")
+            assert state(served) == before
+
+    run(body())
+
+
+def test_revert_goes_back_step_by_step_and_a_later_reload_applies_the_file_again() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, _):
+            assert await said(served, b"revert") == "fail there is no generation before"
+            files = [like(served, settings=with_plan(refill=rate)) for rate in (7.0, 8.0)]
+            for file in files:
+                assert not await served.change(file, "reload")
+            assert await said(served, b"revert") == "ok"
+            now = await shown(served)
+            assert now["generation"] == ["4"] and now["cause"] == ["revert to 2"]
+            assert now["differs"] == ["settings.contracts[basic].refill: 8.0 -> 7.0"]
+            assert served.gateway.plans["basic"].rate == 7.0
+            assert not await served.change(files[1], "reload")  # the file is as it was
+            assert served.gateway.plans["basic"].rate == 8.0
+            assert await said(served, b"revert") == "ok" and await said(served, b"revert") == "ok"
+            assert served.gateway.plans["basic"].rate == 100.0
+            assert await said(served, b"revert") == "fail there is no generation before"
+            assert (await shown(served))["before"] == ["none"]
+
+    run(body())
+
+
+def test_generations_are_bounded_in_number_and_in_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    book = Generations(config())
+    for n in range(3 * MOST_KEPT):
+        book.accept(config(settings=with_plan(refill=float(n + 1))), "reload")
+    assert len(book.kept) == MOST_KEPT and book.current.number == 3 * MOST_KEPT + 1
+    monkeypatch.setattr("mulleinhall.net.generations.MOST_BYTES", 3 * book.current.config.size + 10)
+    book.accept(config(settings=with_plan(refill=0.5)), "reload")
+    assert len(book.kept) == 3
+
+
+def test_open_requests_end_as_they_began_and_new_ones_of_a_plan_that_is_gone_are_unknown() -> None:
+    go_on = asyncio.Event()
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        words = await read_command(reader)
+        await go_on.wait()
+        writer.write(value(words[2]))
+
+    async def body() -> None:
+        async with Peer(script) as peer, serving(plain(peer)) as (served, address):
+            first, second = await Caller.to(address), await Caller.to(address)
+            first.writer.write(command("open"))
+            await until(lambda: served.attempts)
+            assert not await served.change(like(served, settings=SETTINGS | {
+                "contracts": [PLAN | {"name": "gold"}]}), "reload")
+            assert "unknown plan" in str(await second.ask(command("late")))
+            go_on.set()
+            assert await first.answer() == b"open"
+
+    run(body())
+
+
+def test_lower_limits_bound_new_work_at_once_and_cut_nothing_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    go_on = asyncio.Event()
+    monkeypatch.setattr("mulleinhall.net.clients.IDLE", 0.05)
+    monkeypatch.setattr("mulleinhall.net.clients.SWEEP", 0.02)
+    monkeypatch.setattr("mulleinhall.net.ingress.SETTLE", 0.01)
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        while True:
+            words = await read_command(reader)
+            if words[2] == b"slow":
+                await go_on.wait()
+            writer.write(value(words[2]))
+
+    async def body() -> None:
+        async with Peer(script) as peer, serving(plain(peer)) as (served, address):
+            callers = [await Caller.to(address) for _ in range(40)]
+            for caller in callers:
+                assert await caller.ask(command("quick")) == b"quick"
+            callers[0].writer.write(command("slow"))
+            await until(lambda: served.attempts)
+            held = served.budget.held
+            less = {"cores": 1.0, "memory_mb": 24, "sockets": 64}
+            assert not await served.change(like(served, limits=less), "reload")
+            assert served.clients.most == 16
+            await until(lambda: len(served.clients.connections) <= 16)
+            served.budget.held = 3 << 20  # more than the new limit leaves
+            served._settle()
+            assert str(await until_answer(callers, command("more"))).startswith("BUSY")
+            served.budget.held = held
+            await until(lambda: not served.clients.settling)
+            go_on.set()
+            assert await callers[0].answer() == b"slow"
+
+    run(body())
+
+
+async def until_answer(callers: list[Caller], data: bytes) -> Any:
+    """The answer on one of the connections that are left."""
+    for caller in reversed(callers[1:]):
+        try:
+            return await caller.ask(data)
+        except (EOFError, ConnectionError):
+            continue
+    raise AssertionError("no connection is left")
+
+
+def alive() -> dict[type, int]:
+    gc.collect()
+    found = gc.get_objects()
+    return {kind: sum(isinstance(one, kind) for one in found) for kind in (Config, Settings, Counter)}
+
+
+def test_many_changes_leave_no_generation_behind_but_those_that_are_kept() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, address):
+            caller, before = await Caller.to(address), alive()
+            for number in range(60):
+                told = SETTINGS | {"family-info": {"counter": number % 2 == 0, "count-wait-s": 0.1},
+                                   "contracts": [PLAN | {"refill": 100.0 + number}]}
+                assert not await served.change(like(served, counter="127.0.0.1:1", settings=told), "reload")
+                assert await caller.ask(command()) == b"00000000000000aa"
+            assert len(served.generations.kept) == MOST_KEPT
+            more = {kind: count - before[kind] for kind, count in alive().items()}
+            assert more[Config] <= MOST_KEPT and more[Settings] <= MOST_KEPT and more[Counter] <= 1
+
+    run(body())
+
+
+@pytest.mark.parametrize("count", [10_000])
+def test_a_change_with_many_customers_holds_the_loop_up_for_a_bounded_number_of_turns(count: int) -> None:
+    """As a multiple of what a request and its answer take in the same run: seconds tell of the machine."""
+    play = Play(replace(FIXED, plans=(replace(BASIC, rate=1e6, burst=1e6),)))
+    for number in range(count):
+        [send] = sends(play.ask(customer=f"c{number}", spread=1))
+        play.end(send, after=0.0)
+    turns, changes = [], []
+    for number in range(20):
+        began = time.process_time()
+        for _ in range(50):
+            [send] = sends(play.ask(customer=f"c{number}", spread=1))
+            play.end(send, after=0.0)
+        turns.append((time.process_time() - began) / 50)
+        began = time.process_time()
+        plan = replace(BASIC, rate=1e6 + number, burst=1e6)
+        play.at(0.0, SettingsChanged(replace(FIXED, plans=(plan,))))
+        changes.append(time.process_time() - began)
+    assert len(play.gateway.customers) == count
+    assert max(changes) < count / 4 * min(turns)  # a customer costs a small part of a request
+
+
+PLANS = st.lists(st.builds(
+    lambda name, refill, burst: {"name": name, "refill": refill, "burst": burst},
+    st.sampled_from("abcd"), st.floats(0, 1e6), st.floats(0, 1e6)), min_size=1, max_size=4,
+    unique_by=lambda plan: str(plan["name"]))
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(plans=PLANS, aim=st.floats(0.001, 5.0), tick=st.floats(1e-6, 1.0), sockets=st.integers(64, 1 << 16))
+def test_an_accepted_configuration_survives_writing_and_reading(
+        plans: list[dict[str, Any]], aim: float, tick: float, sockets: int) -> None:
+    classes = [row | {"aim-s": aim, "give-up-s": aim * 2} for row in SETTINGS["categories"]]
+    text = config_text(limits={"cores": 1, "memory_mb": 64, "sockets": sockets}, settings=SETTINGS | {
+        "contracts": plans, "categories": classes, "tick-s": tick})
+    one = read_config(text)
+    two = read_config(json.dumps(dict(one.document) | {"seed": "8c1f30d27a5be964", "known": {
+        "version": 1, "full": True, "servers": []}}))
+    assert (one, one.digest, differences(one, two)) == (two, two.digest, [])
+
+
+# Two processes of one ingress
+
+
+@asynccontextmanager
+async def pair(peer: Peer, path: Path) -> AsyncIterator[tuple[Ingress, Ingress]]:
+    async with process(plain(peer), path) as (first, _), process(plain(peer), path) as (second, _):
+        await until(lambda: first.successor is not None)
+        yield first, second
+
+
+def rates(*processes: Ingress) -> list[float]:
+    return [one.gateway.plans["basic"].rate for one in processes]
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_two_processes_change_and_revert_together_wherever_it_is_asked(at: int, tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            asked = both[at]
+            assert not await asked.change(like(asked, settings=with_plan(refill=7.0)), "reload")
+            await until(lambda: rates(*both) == [7.0, 7.0])
+            assert both[0].config.digest == both[1].config.digest
+            assert await asked.revert() == "ok"
+            await until(lambda: rates(*both) == [100.0, 100.0])
+            assert await asked.revert() == "fail there is no generation before"
+
+    run(body())
+
+
+@pytest.mark.parametrize("at", [0, 1])
+def test_if_either_refuses_both_stay(at: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            for refusing in both:
+                with monkeypatch.context() as patch:
+                    patch.setattr(refusing, "plan", lambda document: ("not this one", None))
+                    new = like(both[at], settings=with_plan(refill=7.0))
+                    assert await both[at].change(new, "reload") == "not this one"
+                assert rates(*both) == [100.0, 100.0] and not both[1].agreement.prepared
+                assert both[at].generations.refusal.endswith("not this one")
+
+    run(body())
+
+
+def test_one_that_says_nothing_in_time_leaves_both_on_the_old_generation(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            monkeypatch.setattr(both[1].agreement, "heard", lambda link, message: None)
+            new = like(both[0], settings=with_plan(refill=7.0))
+            assert await both[0].change(new, "reload") == SILENT
+            assert rates(*both) == [100.0, 100.0]
+
+    run(body())
+
+
+def test_when_the_other_dies_while_it_prepares_the_survivor_goes_on_alone(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            assert both[1].handover is not None
+            monkeypatch.setattr(both[1].agreement, "heard", lambda link, message: link.transport.abort())
+            assert not await both[0].change(like(both[0], settings=with_plan(refill=7.0)), "reload")
+            assert rates(both[0]) == [7.0] and not both[0].handover.links  # type: ignore[union-attr]
+
+    run(body())
+
+
+def test_when_the_eldest_dies_before_it_says_commit_the_survivor_stays_and_can_lead(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            first, second = both
+            new = like(second, settings=with_plan(refill=7.0))
+            assert second.elder() is not None
+            second.agreement.prepared = {"k": second.plan(new.document)[1]}
+            for link in list(first.handover.links):  # type: ignore[union-attr]
+                assert link.transport is not None
+                link.transport.abort()
+            await until(lambda: second.elder() is None)
+            assert not second.agreement.prepared and rates(second) == [100.0]
+            assert not await second.change(new, "reload") and rates(second) == [7.0]
+
+    run(body())
+
+
+def test_a_process_that_comes_runs_what_the_one_before_runs_whatever_its_file_says(tmp_path: Path) -> None:
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(plain(peer), path) as (first, _):
+            assert not await first.change(like(first, settings=with_plan(refill=7.0)), "reload")
+            async with process(plain(peer), path) as (second, _):
+                assert rates(first, second) == [7.0, 7.0]
+                assert second.generations.current.cause == "take over"
+
+    run(body())
+
+
+def test_one_that_came_while_the_others_prepared_is_not_left_behind(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            new = like(both[0], settings=with_plan(refill=7.0))
+            both[0].agreement._tell({"step": "commit", "id": "never prepared", "document": dict(new.document),
+                                     "cause": "reload", "back": False})
+            await until(lambda: rates(both[1]) == [7.0])
+
+    run(body())
+
+
+def test_changes_and_reverts_at_once_at_both_end_on_one_generation(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer, pair(peer, tmp_path / "there") as both:
+            for turn in range(10):
+                await asyncio.gather(
+                    both[0].change(like(both[0], settings=with_plan(refill=10.0 + turn)), "reload"),
+                    both[1].change(like(both[1], settings=with_plan(refill=50.0 + turn)), "reload"),
+                    both[turn % 2].revert())
+                await until(lambda: both[0].config.digest == both[1].config.digest)
+            assert rates(both[0]) == rates(both[1])
+
+    run(body())
+
+
+# Real processes
+
+
+def write(path: Path, text: str) -> None:
+    """Replaced by rename, as the platform does."""
+    other = path.with_suffix(".next")
+    other.write_text(text, encoding="utf-8")
+    other.rename(path)
+
+
+def test_changes_good_and_bad_under_a_steady_flow_lose_nothing_and_leave_nothing(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer, program(peer, tmp_path) as (process, address):
+            path = tmp_path / "config.json"
+            good = json.loads(path.read_text(encoding="utf-8"))
+            over, answers, asked = asyncio.Event(), list[Any](), 0
+
+            async def flow(number: int) -> None:
+                nonlocal asked
+                caller = await Caller.to(address)
+                while not over.is_set():
+                    asked += 1
+                    answers.append(await caller.ask(command(f"{number}-{asked}", customer=number)))
+                    await asyncio.sleep(0.02)  # inside every quota
+                caller.writer.close()
+
+            flows = [asyncio.create_task(flow(number)) for number in range(4)]
+            fds = Path(f"/proc/{process.pid}/fd")
+            await asyncio.sleep(0.2)
+            before = len(os.listdir(fds))
+            bad = ["{", "", "[]", json.dumps(good | {"name": "other"}), json.dumps(good | {"seed": "?"})]
+            for number in range(50):
+                if number % 5 == 4:
+                    write(path, bad[number // 5 % len(bad)])
+                else:
+                    write(path, json.dumps(good | {
+                        "settings": with_plan(refill=100.0 + number % 7, burst=500.0 + number % 3),
+                        "limits": good["limits"] | {"memory_mb": 128 + number}}))
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02 if number % 2 else 0.0)  # a storm, too
+            await asyncio.sleep(0.3)
+            over.set()
+            await asyncio.gather(*flows)
+            assert len(answers) == asked > 40
+            assert all(isinstance(answer, bytes) for answer in answers)  # served, each of them
+            await asyncio.sleep(0.1)
+            assert len(os.listdir(fds)) <= before
+            assert process.returncode is None
+
+    run(body())
+
+
+def test_a_signal_in_a_drain_changes_nothing_for_those_that_are_served(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer, program(peer, tmp_path) as (process, address):
+            caller = await Caller.to(address)
+            assert await caller.ask(command("one")) == b"one"
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            assert await caller.ask(command("two")) == b"two"
+            assert await process.wait() == 0
+
+    run(body())
+
+
+def test_a_signal_in_start_up_is_not_lost(tmp_path: Path) -> None:
+    """As soon as the program catches it, long before it serves."""
+    async def body() -> None:
+        async with backend() as peer:
+            address, path = ("127.0.0.1", free_port()), tmp_path / "config.json"
+            text = config_text(entry(peer.address), listen=f"127.0.0.1:{address[1]}")
+            path.write_text(text, encoding="utf-8")
+            process = await start(path)
+            try:
+                status = Path(f"/proc/{process.pid}/status")
+                while not int(status.read_text().partition("SigCgt:")[2].split()[0], 16) & 1:
+                    await asyncio.sleep(0.001)
+                process.send_signal(signal.SIGHUP)
+                await until(lambda: process.returncode is not None or listens(address))
+                assert process.returncode is None
+                caller = await Caller.to(address)
+                assert await caller.ask(command()) == b"00000000000000aa"
+            finally:
+                process.kill()
+                await process.wait()
+
+    run(body())
+
+
+def listens(address: tuple[str, int]) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex(address) == 0
+
+
+def test_a_silent_discovery_and_a_silent_counter_leave_the_list_in_use() -> None:
+    async def body() -> None:
+        async with backend() as peer, backend(b"") as silent, serving(plain(peer)) as (served, address):
+            caller = await Caller.to(address)
+            at = f"127.0.0.1:{silent.address[1]}"
+            told = SETTINGS | {"family-info": {"counter": True, "count-wait-s": 0.1}}
+            assert not await served.change(like(served, discovery=at, counter=at, settings=told), "reload")
+            await until(lambda: silent.connections)
+            for _ in range(5):
+                assert await caller.ask(command()) == b"00000000000000aa"
+            assert served.backends.listed() == 1
+
+    run(body())
+
+
+def test_a_revert_is_answered_in_time_while_another_change_does_not_end() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, _):
+            assert not await served.change(like(served, settings=with_plan(refill=7.0)), "reload")
+            async with served.agreement.lock:
+                began = asyncio.get_running_loop().time()
+                assert await said(served, b"revert") == f"fail {UNDER_WAY}"
+                assert asyncio.get_running_loop().time() - began >= TURN_WITHIN
+            assert await said(served, b"revert") == "ok"
+            assert TURN_WITHIN + READY_WITHIN < 1.0 and SETTLED_WITHIN < 1.0
+
+    run(body())
--- a/tests/test_net_config.py
+++ b/tests/test_net_config.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from mulleinhall.net.config import BadConfig, read_config
+from mulleinhall.net.config import BadConfig, load_config, read_config
+from mulleinhall.net.files import MOST_BYTES
 from tests.peers import SETTINGS, config_text, entry
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -52,3 +53,154 @@
     assert done.returncode != 0
     [line] = done.stderr.splitlines()
     assert key in line
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(BadConfig) as caught:
+        read_config(text)
+    return caught.value.faults
+
+
+CLASS, PLAN = SETTINGS["categories"][0], SETTINGS["contracts"][0]
+
+
+def test_every_fault_is_found_in_one_go_with_its_path() -> None:
+    found = faults(config_text(
+        name="", listen="nowhere", seed="xyz", limits={"cores": 0, "memory_mb": 1, "sockets": 2.5},
+        settings=SETTINGS | {
+            "self-index": 3, "categories": [CLASS, CLASS, CLASS | {"name": "late", "give-up-s": 0.1}],
+            "contracts": [PLAN | {"refill": "fast", "burst": -1}, PLAN | {"hard-rate": 4.0}], "rules": []}))
+    paths = {fault.partition(":")[0] for fault in found}
+    assert paths == {
+        "name", "listen", "seed", "limits.cores", "limits.memory_mb", "limits.sockets", "settings.self-index",
+        "settings.categories[1].name", "settings.categories[2].give-up-s", "settings.contracts[0].refill",
+        "settings.contracts[0].burst", "settings.contracts[1].name", "settings.contracts[1].ceiling-burst",
+        "settings.rules"}
+    assert len(found) == len(paths)
+
+
+@pytest.mark.parametrize(("settings", "path"), [
+    ({"tick-s": float("nan")}, "settings.tick-s"), ({"balancers": float("inf")}, "settings.balancers"),
+    ({"balancers": 10 ** 400}, "settings.balancers"), ({"balancers": True}, "settings.balancers"),
+    ({"balancers": 0}, "settings.balancers"), ({"categories": []}, "settings.categories"),
+    ({"categories": [CLASS | {"semantics": "maybe"}]}, "settings.categories[0].semantics"),
+    ({"categories": ["read"]}, "settings.categories[0]"), ({"contracts": {}}, "settings.contracts"),
+    ({"limits": {"second-copies": 1}}, "settings.limits.second-copies"),
+    ({"limits": {"max-attempts": 0}}, "settings.limits.max-attempts"),
+    ({"rules": {"cold-s": -1}}, "settings.rules.cold-s"), ({"zone": None}, "settings.zone"),
+    ({"family-info": {"most-units": "1"}}, "settings.family-info.most-units"),
+    ({"prices": {"probe": -0.1}}, "settings.prices.probe")])
+def test_types_and_ranges(settings: dict[str, Any], path: str) -> None:
+    [fault] = faults(config_text(settings=SETTINGS | settings))
+    assert fault.startswith(f"{path}: ") and len(fault) < 200
+
+
+def test_keys_that_stand_twice_are_found_at_any_depth() -> None:
+    text = config_text()
+    text = text.replace('"name": "n0"', '"name": "n0", "name": "n1"')
+    text = text.replace('"refill": 100.0', '"refill": 100.0, "refill": 5.0')
+    assert faults(text) == ["name: stands there more than once",
+                            "settings.contracts[0].refill: stands there more than once"]
+
+
+def test_unknown_keys_are_accepted_and_named() -> None:
+    config = read_config(config_text(colour="red", settings=SETTINGS | {
+        "goal": {"whole": 1.0}, "mood": 1, "contracts": [PLAN | {"tier": "gold"}]}))
+    assert set(config.unknown) == {"colour", "settings.mood", "settings.contracts[0].tier"}
+
+
+@pytest.mark.parametrize("text", ["", "[]", "null", "{", "nul", "[" * 100_000, '{"a":1}x', "\ufeff{}"])
+def test_what_is_no_document_is_one_fault(text: str) -> None:
+    [fault] = faults(text)
+    assert fault.startswith("EDGE_CONFIG: ")
+
+
+def test_the_counter_is_needed_only_where_there_is_one() -> None:
+    told = SETTINGS | {"family-info": {"counter": True}}
+    assert faults(config_text(settings=told)) == [
+        "counter: missing, and settings.family-info.counter says that there is one"]
+    assert read_config(config_text(settings=told, counter="127.0.0.1:6400")).counter == ("127.0.0.1", 6400)
+    assert read_config(config_text(counter="127.0.0.1:6400")).counter is None
+
+
+def test_two_parts_of_one_address_contradict() -> None:
+    assert faults(config_text(listen="127.0.0.1:7000", control="127.0.0.1:7000")) == [
+        "control: is the address where clients connect"]
+
+
+def refused(path: Path) -> str:
+    with pytest.raises(BadConfig) as caught:
+        load_config(str(path))
+    [fault] = caught.value.faults
+    return fault
+
+
+def test_files_that_are_none(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    assert "No such file" in refused(path)
+    path.mkdir()
+    assert "not a regular file" in refused(path)
+    path.rmdir()
+    os.mkfifo(path)
+    assert "not a regular file" in refused(path)  # and no wait for a writer
+    path.unlink()
+    path.write_bytes(config_text().encode()[:-40])
+    assert "not JSON" in refused(path)  # half written
+    path.write_bytes(b"")
+    assert "not JSON" in refused(path)
+    path.write_bytes(b'{"name": "\xff"}')
+    assert "not UTF-8" in refused(path)
+    with path.open("wb") as file:
+        file.truncate(100 << 20)
+    assert f"are more than {MOST_BYTES}" in refused(path)
+
+
+def test_a_file_that_is_replaced_while_it_is_read_is_read_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path, other = tmp_path / "config.json", tmp_path / "next"
+    path.write_text(config_text(name="old"), encoding="utf-8")
+    looks = 0
+    fstat = os.fstat
+
+    def look(handle: int) -> os.stat_result:
+        nonlocal looks
+        looks += 1
+        if looks == 1:
+            other.write_text(config_text(name="new"), encoding="utf-8")
+            other.rename(path)
+        return fstat(handle)
+
+    monkeypatch.setattr(os, "fstat", look)
+    assert load_config(str(path)).name == "new"
+
+    def always(handle: int) -> os.stat_result:
+        other.write_text(config_text(), encoding="utf-8")
+        other.rename(path)
+        return fstat(handle)
+
+    monkeypatch.setattr(os, "fstat", always)
+    assert "changed each time" in refused(path)
+
+
+def checked(path: Path) -> tuple[int, list[str]]:
+    done = subprocess.run([sys.executable, "-m", "mulleinhall", "check", str(path)], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60, env={"PATH": os.environ["PATH"]})
+    assert not done.stderr
+    return done.returncode, done.stdout.splitlines()
+
+
+def test_check_says_what_a_start_would_say_and_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(config_text(colour="red"), encoding="utf-8")
+    assert checked(path) == (0, ["colour: unknown, ignored"])
+    path.write_text(config_text(seed="xyz", name=""), encoding="utf-8")
+    status, lines = checked(path)
+    assert status == 2 and len(lines) == 2 and lines == faults(path.read_text(encoding="utf-8"))
+    assert [entry.name for entry in tmp_path.iterdir()] == ["config.json"]
+    assert checked(tmp_path / "none")[0] == 2
+
+
+def test_a_wrong_call_is_told(tmp_path: Path) -> None:
+    done = subprocess.run([sys.executable, "-m", "mulleinhall", "chek"], cwd=ROOT, capture_output=True,
+                          text=True, timeout=60)
+    assert done.returncode == 2 and done.stderr.startswith("usage: ")
