Forget customers of plans without a rate

Need: found while settings were made to change: Customer.idle asks for a full slice, which a plan without a rate never refills, so each customer seen stays in memory for good. Change: the slice counts only where there is a rate (logic.py, Customer.idle). The new test fails without it.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -113,7 +113,8 @@
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
         return (now - self.seen > IDLE and not self.open and not self.elsewhere
-                and self.slice.fits(now, self.slice.cap) and self.ceiling.fits(now, self.ceiling.cap))
+                and (not self.plan.rate or self.slice.fits(now, self.slice.cap))  # else it holds nobody back
+                and self.ceiling.fits(now, self.ceiling.cap))
 
     def state(self, now: float) -> api.CustomerState:
         self.slice.fits(now, 0.0)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mulleinhall.interface import Count, CounterReply, Outcome, PeerMessage, Plan, Refuse, TellPeers, Timer
+from mulleinhall.logic import IDLE, TICK
 
 from .conftest import SETTINGS, Play, sends
 
@@ -71,6 +72,15 @@
     assert sum(len(sends(play.ask())) for _ in range(5)) == 2  # cap 4 over two gateways
 
 
+def test_customers_of_a_plan_without_a_rate_are_forgotten_too() -> None:
+    """What they spend never refills, and holds nobody back."""
+    play = Play(replace(SETTINGS, plans=(Plan("basic", rate=0.0, burst=8.0),)))
+    for n in range(50):
+        assert spend(play, 20, customer=f"c{n}") == 20
+    play.at(IDLE + 1.0, Timer(TICK))
+    assert not play.gateway.customers
+
+
 def test_idle_full_customers_are_forgotten() -> None:
     play = Play()
     for n in range(50):
