Build the list service: a board with versions, a store, watches, leases, writes

Need: the ingress follows a list that others serve; the project is to have the service itself.

GET /api/targets whole and as a watch as the protocol has it; writes with a token, conditions and leases; a damaged store is set aside, a copy restored above all versions given. The ingress loads none of it (a test looks).

Measured: 200 kills with SIGKILL amid writes: every answered write there, no version twice. A model of writes, restarts and watchers, 60 series: each watcher's list equals the service's at its version. Not built yet: the relay, the version and age of the list in show-stat, and a play of a real ingress against the real service.

--- /dev/null
+++ b/mulleinhall/registry/service.py
@@ -0,0 +1,252 @@
+"""The list service over HTTP: reading, watching, writing."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import logging
+import random
+import sqlite3
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+from aiohttp import web
+
+from mulleinhall.net.schema import Check, Many, Number, Shape, Text, parse
+from mulleinhall.registry.board import Board, Row
+from mulleinhall.registry.leases import Leases
+from mulleinhall.registry.store import Store
+
+log = logging.getLogger(__name__)
+
+MOST_WATCHERS = 2000
+MOST_WAIT_MS = 60_000
+TOGETHER = 0.05  # s: changes within it make one answer
+MOST_BODY = 1 << 20  # bytes of a write
+LOOK = 0.25  # s between looks at the leases
+COME_AGAIN = (1, 5)  # s, drawn anew for each that is turned away
+ENTRY = Shape(
+    {"id": Text(), "addr": Text(), "zone": Text(empty=True), "kind": Text(empty=True),
+     "cell": Number(whole=True), "state": Text(("ready", "draining")), "weight": Number(high=1e9),
+     "started_ms": Number(whole=True), "ttl_s": Number(low=0.5, high=86_400.0)},
+    frozenset({"id", "addr"}))
+SEVERAL = Shape({"servers": Many(ENTRY, 1, "id")}, frozenset({"servers"}))
+DEFAULTS = {"zone": "", "kind": "", "cell": 0, "state": "ready", "weight": 1.0, "started_ms": 0}
+
+
+class Refused(Exception):
+    """A call that changes nothing."""
+
+    def __init__(self, status: int, *faults: str) -> None:
+        super().__init__("; ".join(faults))
+        self.status, self.faults = status, faults
+
+
+def read_entries(text: str, name: str | None = None) -> list[tuple[Row, float]]:
+    """The entries of a write, each with its lease in seconds, 0 for none."""
+    try:
+        body = parse(text)
+    except ValueError as error:
+        raise Refused(400, f"body: not JSON: {error}") from None
+    if not isinstance(body, dict):
+        raise Refused(400, "body: not an object")
+    if name is not None:
+        body.setdefault("id", name)
+    check = Check()
+    check.value(body, SEVERAL if name is None else ENTRY, "")
+    rows = body.get("servers", []) if name is None else [body]
+    for number, row in enumerate(rows if isinstance(rows, list) else []):
+        before = f"servers[{number}]." if name is None else ""
+        if isinstance(row, dict):
+            host, _, port = str(row.get("addr", "")).rpartition(":")
+            if "addr" in row and not (host and port.isdecimal() and 0 < int(port) < 65536):
+                check.fault(f"{before}addr", f"{row['addr']!r} is not an address and port")
+            if name is not None and row.get("id") != name:
+                check.fault("id", f"{row.get('id')!r} is not the one in the path")
+    unknown = [f"{key}: unknown" for key in check.unknown]
+    if check.faults or unknown:
+        raise Refused(400, *check.faults, *unknown)
+    return [({**DEFAULTS, **{key: value for key, value in row.items() if key != "ttl_s"}},
+             float(row.get("ttl_s", 0.0))) for row in rows]
+
+
+class Service:
+    """The board, its store and its watchers."""
+
+    def __init__(self, store: Store, token: str, clock: Callable[[], float] = time.monotonic) -> None:
+        self.store, self.token, self.clock = store, token, clock
+        self.board = Board(store.given, ((row, changed) for row, changed, _ in store.rows))
+        self.leases = Leases(clock(), ((row["id"], life) for row, _, life in store.rows if life))
+        self.thread = ThreadPoolExecutor(1, "store")
+        self.writing = asyncio.Lock()
+        self.loop = asyncio.get_running_loop()
+        self.changed: asyncio.Future[None] = self.loop.create_future()
+        self.waker: asyncio.TimerHandle | None = None
+        self.watchers, self.turned_away = 0, 0
+        self.looking = self.loop.create_task(self._look())
+
+    # Changes
+
+    async def write(self, rows: Iterable[tuple[Row, float]]) -> int:
+        """One version more, told once it is on disk.  The caller holds the lock."""
+        rows, version = list(rows), self.board.version + 1
+        try:
+            await self.loop.run_in_executor(self.thread, self.store.write, version, rows)
+        except (sqlite3.Error, OSError) as error:
+            log.error("a write failed: %s", error)
+            raise Refused(507, f"not stored: {error}") from error
+        self.board.apply(version, [row for row, _ in rows])
+        for row, life in rows:
+            if row["state"] != "gone" and life:
+                self.leases.grant(row["id"], life, self.clock())
+            else:
+                self.leases.drop(row["id"])
+        if self.waker is None:
+            self.waker = self.loop.call_later(TOGETHER, self._wake)
+        return version
+
+    def _wake(self) -> None:
+        self.waker = None
+        waiting, self.changed = self.changed, self.loop.create_future()
+        waiting.set_result(None)
+
+    def _matches(self, name: str, match: str | None) -> None:
+        found = self.board.entry(name)
+        if match is not None and (found is None or match.strip('" ') != str(found[0])):
+            raise Refused(412, f"{name}: version {found[0] if found else 'none'}, not {match}")
+
+    async def _look(self) -> None:
+        """Ends the leases that have run out."""
+        held = 0
+        while True:
+            await asyncio.sleep(LOOK)
+            out = self.leases.look(self.clock())
+            if len(self.leases.held) > held:
+                log.warning("%d entries would run out together: held until they are renewed or released",
+                            len(self.leases.held))
+            held = len(self.leases.held)
+            if out:
+                try:
+                    await self.remove(out)
+                except Refused as error:
+                    log.error("leases: %s", error)
+
+    async def remove(self, names: list[str]) -> int:
+        async with self.writing:
+            there = [found[1] for name in names if (found := self.board.entry(name))]
+            return await self.write([({**row, "state": "gone"}, 0.0) for row in there]) if there else 0
+
+    # Calls
+
+    async def targets(self, request: web.Request) -> web.StreamResponse:
+        after, wait = self._query(request, "after"), self._query(request, "wait_ms")
+        if after is not None and wait and after == self.board.version:
+            if self.watchers >= MOST_WATCHERS:
+                return self.busy()
+            self.watchers += 1
+            try:
+                async with asyncio.timeout(min(wait, MOST_WAIT_MS) / 1000):
+                    while after == self.board.version:
+                        await asyncio.shield(self.changed)
+            except TimeoutError:
+                pass
+            finally:
+                self.watchers -= 1
+        return web.Response(body=self.board.answer(after), content_type="application/json")
+
+    def busy(self) -> web.Response:
+        self.turned_away += 1
+        return web.json_response({"error": "too many"}, status=503, headers={
+            "Retry-After": str(random.randint(*COME_AGAIN))})
+
+    def _query(self, request: web.Request, name: str) -> int | None:
+        text = request.query.get(name)
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdecimal() and len(text) <= 18):
+            raise Refused(400, f"{name}: {text[:40]!r} is not a whole number from 0")
+        return int(text)
+
+    async def put(self, request: web.Request) -> web.StreamResponse:
+        name = request.match_info["name"]
+        rows = read_entries(await request.text(), name)
+        async with self.writing:
+            self._matches(name, request.headers.get("If-Match"))
+            return self._done(await self.write(rows))
+
+    async def post(self, request: web.Request) -> web.StreamResponse:
+        rows = read_entries(await request.text())
+        async with self.writing:
+            return self._done(await self.write(rows))
+
+    async def drain(self, request: web.Request) -> web.StreamResponse:
+        return await self._turn(request, "draining")
+
+    async def delete(self, request: web.Request) -> web.StreamResponse:
+        return await self._turn(request, "gone")
+
+    async def _turn(self, request: web.Request, state: str) -> web.StreamResponse:
+        """Gives an entry that is there another state."""
+        name, match = request.match_info["name"], request.headers.get("If-Match")
+        async with self.writing:
+            found = self.board.entry(name)
+            if found is None:
+                raise Refused(404, f"{name}: not there")
+            self._matches(name, match)
+            row = {**found[1], "state": state}
+            return self._done(await self.write([(row, self.leases.lives.get(name, 0.0))]))
+
+    async def renew(self, request: web.Request) -> web.StreamResponse:
+        name = request.match_info["name"]
+        found = self.board.entry(name)
+        if found is None or not self.leases.renew(name, self.clock()):
+            raise Refused(404, f"{name}: not there, or without a lease")
+        return self._done(found[0])
+
+    async def release(self, request: web.Request) -> web.StreamResponse:
+        """An operator says that the held ones are gone; `most` bounds how many, the oldest first."""
+        most = self._query(request, "most")
+        return self._done(await self.remove(self.leases.release()[:most]) or self.board.version)
+
+    def _done(self, version: int) -> web.Response:
+        return web.json_response({"version": version}, headers={"ETag": f'"{version}"'})
+
+    async def status(self, request: web.Request) -> web.StreamResponse:
+        return web.json_response({
+            "store": self.store.name, "version": self.board.version, "floor": self.board.floor,
+            "entries": len(self.board.entries()), "leases": len(self.leases.lives),
+            "held": self.leases.release(), "watchers": self.watchers, "turned_away": self.turned_away,
+            "encoded": self.board.encoded})
+
+    @web.middleware
+    async def guard(self, request: web.Request,
+                    handler: Callable[[web.Request], Awaitable[web.StreamResponse]]) -> web.StreamResponse:
+        try:
+            if request.method != "GET" and not self._allowed(request):
+                raise Refused(401, "a token is needed")
+            return await handler(request)
+        except Refused as refused:
+            return web.json_response({"errors": refused.faults}, status=refused.status)
+
+    def _allowed(self, request: web.Request) -> bool:
+        given = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        return bool(self.token) and hmac.compare_digest(given.encode(), self.token.encode())
+
+    def app(self) -> web.Application:
+        app = web.Application(middlewares=[self.guard], client_max_size=MOST_BODY)
+        app.add_routes([
+            web.get("/api/targets", self.targets), web.get("/status", self.status),
+            web.post("/api/targets", self.post), web.put("/api/targets/{name}", self.put),
+            web.delete("/api/targets/{name}", self.delete), web.post("/api/targets/{name}/drain", self.drain),
+            web.post("/api/targets/{name}/renew", self.renew), web.post("/api/release", self.release)])
+        return app
+
+    async def close(self) -> None:
+        self.looking.cancel()
+        if self.waker is not None:
+            self.waker.cancel()
+        await asyncio.gather(self.looking, return_exceptions=True)
+        async with self.writing:
+            self.thread.shutdown()
+        self.store.close()
--- /dev/null
+++ b/mulleinhall/registry/store.py
@@ -0,0 +1,198 @@
+"""What is on disk: the entries and the version, in SQLite.  Used by one thread at a time."""
+
+from __future__ import annotations
+
+import fcntl
+import hashlib
+import json
+import logging
+import os
+import shutil
+import sqlite3
+import time
+import uuid
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+from mulleinhall.registry.board import Row
+
+log = logging.getLogger(__name__)
+
+AHEAD = 100_000  # versions that a bound reaches ahead: it is written once for so many
+FILES = ("", "-wal", "-shm")
+
+
+class CannotOpen(Exception):
+    """The folder can't be used; the text says why."""
+
+
+class Damaged(Exception):
+    """What is stored is not what was written."""
+
+
+def _sum(text: str, version: int) -> str:
+    return hashlib.sha256(f"{version} {text}".encode()).hexdigest()
+
+
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
+class Store:
+    """One folder, held by one service."""
+
+    def __init__(self, folder: Path, now: Callable[[], int] = _unix_ms, restore: Path | None = None) -> None:
+        """`restore`: a copy that takes the place of what is stored, at a version above all given."""
+        self.folder, self.path, self.bound_path = folder, folder / "list.db", folder / "bound"
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            raise CannotOpen(f"{folder}: {error.strerror}") from error
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self.lock)
+            raise CannotOpen(f"{folder}: another service holds it") from error
+        try:
+            self.bound = self._read_bound()
+            if restore is not None:
+                self._restore(restore)
+            try:
+                self._open()
+            except (sqlite3.DatabaseError, Damaged, KeyError, ValueError) as error:
+                if isinstance(error, sqlite3.OperationalError):
+                    raise
+                self._set_aside(error)
+                self._open()
+            if not self.given or restore is not None:
+                # Danger: a lost or damaged store, or a later one, has given versions that nobody here knows.
+                self.write(max(now(), self.bound, self.given) + 1, ())
+        except (sqlite3.Error, OSError) as error:
+            self.close()
+            raise CannotOpen(f"{folder}: {error}") from error
+        except CannotOpen:
+            self.close()
+            raise
+
+    # Opening
+
+    def _open(self) -> None:
+        self.base = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False, timeout=1.0)
+        try:
+            self.base.execute("PRAGMA journal_mode=WAL")
+            self.base.execute("PRAGMA synchronous=FULL")
+            [[found]] = self.base.execute("PRAGMA integrity_check(1)").fetchall()
+            if found != "ok":
+                raise Damaged(str(found))
+            self.base.execute("CREATE TABLE IF NOT EXISTS meta (key TEXT PRIMARY KEY, value TEXT NOT NULL)")
+            self.base.execute("CREATE TABLE IF NOT EXISTS entries (id TEXT PRIMARY KEY, row TEXT NOT NULL, "
+                              "version INTEGER NOT NULL, sum TEXT NOT NULL)")
+            self._read()
+        except BaseException:
+            self.base.close()
+            raise
+
+    def _read(self) -> None:
+        meta = dict(self.base.execute("SELECT key, value FROM meta"))
+        self.rows: list[tuple[Row, int, float]] = []  # with the version of its last change and its lease
+        self.name = meta.get("name") or uuid.uuid4().hex
+        self.given = 0  # the last version that is known to be given, 0 for none
+        if "version" not in meta:
+            if self.base.execute("SELECT count(*) FROM entries").fetchone()[0]:
+                raise Damaged("entries without a version")
+            self.base.execute("INSERT OR REPLACE INTO meta VALUES ('name', ?)", (self.name,))
+            return
+        version, _, found = meta["version"].partition(" ")
+        if found != _sum("version", int(version)):
+            raise Damaged("the version is not what was written")
+        self.given = int(version)
+        for name, text, changed, found in self.base.execute("SELECT id, row, version, sum FROM entries"):
+            if found != _sum(text, changed) or not 0 < changed <= self.given:
+                raise Damaged(f"entry {name!r} is not what was written")
+            kept = json.loads(text)
+            self.rows.append((kept["row"], changed, kept["life"]))
+
+    def _restore(self, copy: Path) -> None:
+        """The copy is read whole before anything is changed."""
+        other, real = self.folder / "restoring.db", self.path
+        for ending in FILES:
+            other.with_name(other.name + ending).unlink(missing_ok=True)
+        shutil.copyfile(copy, other)
+        self.path = other
+        try:
+            self._open()
+            self.base.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+            self.base.close()
+        except (sqlite3.DatabaseError, Damaged, KeyError, ValueError) as error:
+            raise CannotOpen(f"{copy}: {error}") from error
+        finally:
+            self.path = real
+        if not self.given:
+            raise CannotOpen(f"{copy}: it holds no list")
+        self._rename("replaced")
+        other.rename(real)
+
+    def _rename(self, why: str) -> str:
+        mark = f"{why}-{time.time_ns()}"
+        for ending in FILES:
+            path = self.path.with_name(self.path.name + ending)
+            if path.exists():
+                path.rename(path.with_name(f"{path.name}.{mark}"))
+        return mark
+
+    def _set_aside(self, error: Exception) -> None:
+        mark = self._rename("damaged")
+        log.error("the store was damaged (%s): set aside as %s.%s, the list begins empty",
+                  error, self.path, mark)
+
+    def _read_bound(self) -> int:
+        try:
+            return int(self.bound_path.read_text(encoding="ascii"))
+        except (FileNotFoundError, ValueError):
+            return 0
+
+    def _reach(self, version: int) -> None:
+        """Before a version beyond the bound is given, a higher bound is on disk."""
+        if version <= self.bound:
+            return
+        bound, other = version + AHEAD, self.bound_path.with_suffix(".new")
+        with other.open("w", encoding="ascii") as file:
+            file.write(str(bound))
+            file.flush()
+            os.fsync(file.fileno())
+        other.rename(self.bound_path)
+        handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+        self.bound = bound
+
+    # Writing
+
+    def write(self, version: int, rows: Iterable[tuple[Row, float]]) -> None:
+        """On disk when it returns; nothing is changed when it raises."""
+        self._reach(version)
+        self.base.execute("BEGIN IMMEDIATE")
+        try:
+            for row, life in rows:
+                if row["state"] == "gone":
+                    self.base.execute("DELETE FROM entries WHERE id = ?", (row["id"],))
+                    continue
+                text = json.dumps({"row": row, "life": life}, sort_keys=True)
+                self.base.execute("INSERT OR REPLACE INTO entries VALUES (?, ?, ?, ?)",
+                                  (row["id"], text, version, _sum(text, version)))
+            self.base.execute("INSERT OR REPLACE INTO meta VALUES ('version', ?)",
+                              (f"{version} {_sum('version', version)}",))
+            self.base.execute("COMMIT")
+        except BaseException:
+            if self.base.in_transaction:
+                self.base.execute("ROLLBACK")
+            raise
+        self.given = version
+
+    def close(self) -> None:
+        if hasattr(self, "base"):
+            self.base.close()
+        os.close(self.lock)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,673 @@
+"""The list service: versions, watches, writes, leases, the store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import sqlite3
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulleinhall.net.discovery import read_listing
+from mulleinhall.registry import board as board_module
+from mulleinhall.registry import server as server_module
+from mulleinhall.registry import service as service_module
+from mulleinhall.registry.board import Board, Row
+from mulleinhall.registry.leases import PAUSED, Leases
+from mulleinhall.registry.server import Listener
+from mulleinhall.registry.service import TOGETHER, Service
+from mulleinhall.registry.store import CannotOpen, Store
+
+ROOT = Path(__file__).resolve().parent.parent
+TOKEN = "open sesame"
+KEY = {"Authorization": f"Bearer {TOKEN}"}
+
+
+def row(name: str, state: str = "ready", port: int = 6379) -> dict[str, Any]:
+    return {"id": name, "addr": f"127.0.0.1:{port}", "zone": "a", "kind": "m", "cell": 1, "state": state,
+            "weight": 1.0, "started_ms": 0}
+
+
+def run(body: Any) -> None:
+    asyncio.run(asyncio.wait_for(body, 60))
+
+
+class Client:
+    """One who calls the service."""
+
+    def __init__(self, web: aiohttp.ClientSession, base: str) -> None:
+        self.web, self.base = web, base
+
+    async def get(self, path: str = "/api/targets") -> tuple[int, Any]:
+        async with self.web.get(self.base + path) as answer:
+            return answer.status, await answer.json()
+
+    async def call(self, verb: str, path: str, body: Any = None, **headers: str) -> tuple[int, Any]:
+        data = body if isinstance(body, str | bytes) or body is None else json.dumps(body)
+        async with self.web.request(verb, self.base + path, data=data, headers=KEY | headers) as answer:
+            return answer.status, await answer.json()
+
+    async def put(self, name: str, **more: Any) -> int:
+        status, body = await self.call("PUT", f"/api/targets/{name}", row(name) | more)
+        assert status == 200, body
+        return int(body["version"])
+
+    def watch(self, after: int, wait: int = 20_000) -> asyncio.Task[tuple[int, Any]]:
+        return asyncio.create_task(self.get(f"/api/targets?after={after}&wait_ms={wait}"))
+
+
+@asynccontextmanager
+async def serving(folder: Path, **more: Any) -> AsyncIterator[tuple[Service, Client, tuple[str, int]]]:
+    service = Service(Store(folder), TOKEN, **more)
+    listener = Listener(service.app())
+    address = await listener.open("127.0.0.1", 0)
+    try:
+        async with aiohttp.ClientSession() as web:
+            yield service, Client(web, f"http://{address[0]}:{address[1]}"), address
+    finally:
+        await listener.close()
+        await service.close()
+
+
+# Reading and watching
+
+
+def test_a_list_and_its_changes_are_what_an_ingress_reads(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            first = service.board.version
+            one = await client.put("one")
+            two = await client.put("two", state="draining")
+            status, whole = await client.get()
+            listing = read_listing(whole)
+            assert (status, listing.version, listing.full) == (200, two, True) and first < one < two
+            assert [b.id for b in listing.backends] == ["one", "two"]
+            assert whole["servers"][0] == row("one")
+            _, part = await client.get(f"/api/targets?after={one}&wait_ms=0")
+            assert (part["full"], [r["id"] for r in part["servers"]]) == (False, ["two"])
+            _, none = await client.get(f"/api/targets?after={two}&wait_ms=50")
+            assert none == {"version": two, "full": False, "servers": []}
+            await client.call("DELETE", "/api/targets/one")
+            _, gone = await client.get(f"/api/targets?after={two}")
+            assert [(r["id"], r["state"]) for r in gone["servers"]] == [("one", "gone")]
+
+    run(body())
+
+
+def test_one_change_wakes_all_and_is_encoded_once(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            version, counts = await client.put("s0"), []
+            for watchers in (10, 80):
+                tasks = [client.watch(version) for _ in range(watchers)]
+                while service.watchers < watchers:
+                    await asyncio.sleep(0.005)
+                before = service.board.encoded
+                version = await client.put(f"s{watchers}")
+                answers = [body for _, body in await asyncio.gather(*tasks)]
+                assert all(answer == answers[0] for answer in answers)
+                assert [r["id"] for r in answers[0]["servers"]] == [f"s{watchers}"]
+                counts.append(service.board.encoded - before)
+            assert counts == [1, 1]
+
+    run(body())
+
+
+def test_changes_that_come_together_make_one_answer_and_none_is_missed(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            version = service.board.version
+            task = client.watch(version)
+            while not service.watchers:
+                await asyncio.sleep(0.005)
+            for n in range(5):
+                await client.put(f"s{n}")
+            _, first = await task
+            seen = {r["id"] for r in first["servers"]}
+            assert len(seen) > 1  # some of them at least
+            _, rest = await client.get(f"/api/targets?after={first['version']}&wait_ms=1000")
+            assert seen | {r["id"] for r in rest["servers"]} == {f"s{n}" for n in range(5)}
+
+    run(body())
+
+
+@pytest.mark.parametrize(("query", "status"), [
+    ("after=x", 400), ("after=-1", 400), ("after=1e3", 400), ("wait_ms=-5", 400), ("wait_ms=soon", 400),
+    ("after=" + "9" * 18, 200), ("after=" + "9" * 30, 400), ("after=0", 200), ("wait_ms=999999", 200),
+    ("after=", 400)])
+def test_odd_watches(query: str, status: int, tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (_, client, _):
+            await client.put("one")
+            found, answer = await client.get(f"/api/targets?{query}")
+            assert found == status
+            if status == 200:
+                assert answer["full"] and [r["id"] for r in answer["servers"]] == ["one"]
+            else:
+                assert query.partition("=")[0] in answer["errors"][0]
+
+    run(body())
+
+
+def test_a_wait_above_the_limit_is_the_limit(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_module, "MOST_WAIT_MS", 50)
+
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            version = service.board.version
+            _, none = await client.watch(version, 10**9)
+            assert none == {"version": version, "full": False, "servers": []}
+
+    run(body())
+
+
+def test_too_many_watchers_are_told_to_come_again_at_times_of_their_own(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_module, "MOST_WATCHERS", 3)
+
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            tasks = [client.watch(service.board.version) for _ in range(3)]
+            while service.watchers < 3:
+                await asyncio.sleep(0.005)
+            waits = set()
+            path = f"{client.base}/api/targets?after={service.board.version}&wait_ms=9"
+            for _ in range(40):
+                async with client.web.get(path) as no:
+                    assert no.status == 503
+                    waits.add(int(no.headers["Retry-After"]))
+            assert len(waits) > 2 and waits <= {1, 2, 3, 4, 5}
+            assert (await client.get())[0] == 200  # reading goes on
+            await client.put("one")
+            assert [status for status, _ in await asyncio.gather(*tasks)] == [200] * 3
+
+    run(body())
+
+
+def test_too_many_connections_are_turned_away(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "MOST_CONNECTIONS", 2)
+
+    async def body() -> None:
+        async with serving(tmp_path) as (_, _, address):
+            held = [await asyncio.open_connection(*address) for _ in range(2)]
+            reader, writer = await asyncio.open_connection(*address)
+            assert (await reader.read()).startswith(b"HTTP/1.1 503") and len(held) == 2
+            for _, other in [*held, (reader, writer)]:
+                other.close()
+
+    run(body())
+
+
+def test_changes_reach_back_as_far_as_the_tombstones_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(board_module, "MOST_GONE", 3)
+    board = Board(10)
+    for n in range(6):
+        board.apply(11 + 2 * n, [row(f"s{n}")])
+        board.apply(12 + 2 * n, [row(f"s{n}", "gone")])
+    assert len(board.changed) == 3 and board.since(11) == (True, [])
+    assert board.since(board.floor) == (False, [row(f"s{n}", "gone") for n in (3, 4, 5)])
+    with pytest.raises(ValueError, match="version"):
+        board.apply(board.version, [row("s9")])
+
+
+# Writing
+
+
+@pytest.mark.parametrize(("body", "field"), [
+    (row("s") | {"addr": "nowhere"}, "addr"), (row("s") | {"addr": "127.0.0.1:0"}, "addr"),
+    (row("s") | {"state": "gone"}, "state"), (row("s") | {"weight": -1}, "weight"),
+    (row("s") | {"weight": float("nan")}, "weight"), (row("s") | {"cell": 1.5}, "cell"),
+    (row("s") | {"started_ms": "now"}, "started_ms"), (row("s") | {"colour": "red"}, "colour"),
+    (row("s") | {"ttl_s": 0}, "ttl_s"), (row("other"), "id"), ({"zone": "a"}, "addr"), ("{", "body"),
+    ("[]", "body"),
+    ('{"addr": "127.0.0.1:1", "addr": "127.0.0.1:2"}', "addr")])
+def test_a_bad_entry_is_400_names_the_field_and_stores_nothing(
+        body: Any, field: str, tmp_path: Path) -> None:
+    async def script() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            before = service.board.version
+            status, answer = await client.call("PUT", "/api/targets/s", body)
+            assert status == 400 and any(field in fault for fault in answer["errors"]), answer
+            assert service.board.version == before and not service.board.entries()
+
+    run(script())
+
+
+def test_several_at_once_are_one_version_or_none(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            before = service.board.version
+            twice = {"servers": [row("a"), row("b"), row("a")]}
+            status, answer = await client.call("POST", "/api/targets", twice)
+            assert status == 400 and "servers[2].id" in answer["errors"][0]
+            assert service.board.version == before
+            status, answer = await client.call("POST", "/api/targets", {"servers": [row("a"), row("b")]})
+            assert (status, answer["version"]) == (200, before + 1) and len(service.board.entries()) == 2
+
+    run(body())
+
+
+def test_drain_remove_and_conditions(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            for verb, path in (("DELETE", "/api/targets/x"), ("POST", "/api/targets/x/drain"),
+                               ("POST", "/api/targets/x/renew")):
+                assert (await client.call(verb, path))[0] == 404
+            version = await client.put("x")
+            stale = {"If-Match": f'"{version - 1}"'}
+            for verb, path, data in (("DELETE", "/api/targets/x", None), ("PUT", "/api/targets/x", row("x")),
+                                     ("POST", "/api/targets/x/drain", None),
+                                     ("PUT", "/api/targets/y", row("y"))):
+                assert (await client.call(verb, path, data, **stale))[0] == 412
+            assert service.board.version == version
+            now = {"If-Match": f'"{version}"'}
+            status, answer = await client.call("POST", "/api/targets/x/drain", **now)
+            assert status == 200 and service.board.entries()[0]["state"] == "draining"
+            now = {"If-Match": str(answer["version"])}
+            assert (await client.call("DELETE", "/api/targets/x", **now))[0] == 200
+            assert not service.board.entries()
+
+    run(body())
+
+
+def test_a_write_needs_the_token_and_reading_none(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            for given in ("", "Bearer", "Bearer wrong", "Bearer é"):
+                status, _ = await client.call("PUT", "/api/targets/s", row("s"), Authorization=given)
+                assert status == 401
+            assert not service.board.entries() and (await client.get())[0] == 200
+            service.token = ""
+            assert (await client.call("PUT", "/api/targets/s", row("s"), Authorization="Bearer "))[0] == 401
+
+    run(body())
+
+
+def test_a_full_disk_refuses_the_write_and_the_service_goes_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, _):
+            version = await client.put("one")
+            pages = service.store.base.execute("PRAGMA page_count").fetchone()[0]
+            service.store.base.execute(f"PRAGMA max_page_count = {pages}")
+            status, answer = await client.call("POST", "/api/targets", {
+                "servers": [row(f"s{n}") | {"kind": "k" * 500} for n in range(200)]})
+            assert status == 507 and "full" in answer["errors"][0]
+            assert (await client.get())[1]["version"] == version
+            service.store.base.execute("PRAGMA max_page_count = 100000")
+            assert await client.put("two") == version + 1
+
+    run(body())
+
+
+# Bad clients
+
+
+@pytest.mark.parametrize("start", [b"GET /api/tar", b"GET / HTTP/1.1\r\nX: ", b""])
+def test_half_a_head_is_let_go_in_time_and_others_notice_nothing(
+        start: bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "HEAD_WITHIN", 0.2)
+    monkeypatch.setattr(server_module, "SWEEP", 0.05)
+
+    async def body() -> None:
+        async with serving(tmp_path) as (_, client, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(start)
+            answer = asyncio.create_task(reader.read())
+            assert (await client.get())[0] == 200
+            if start:
+                assert (await answer).startswith(b"HTTP/1.1 408")
+            else:
+                answer.cancel()  # an idle one is kept for as long as any other
+            writer.close()
+
+    run(body())
+
+
+def test_an_endless_head_and_a_body_over_the_limit(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, address):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET / HTTP/1.1\r\nX: " + b"x" * 100_000)
+            assert b" 400 " in (await reader.read())[:20]
+            writer.close()
+            status = 0
+            path = f"{client.base}/api/targets/s"
+            async with client.web.put(path, data=b"x" * (2 << 20), headers=KEY) as answer:
+                status = answer.status
+            assert status == 413 and not service.board.entries()
+
+    run(body())
+
+
+def test_a_reader_that_takes_nothing_is_let_go_and_holds_up_nobody(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "READ_WITHIN", 0.3)
+    monkeypatch.setattr(server_module, "SWEEP", 0.05)
+
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, address):
+            rows = [row(f"s{n}") | {"kind": "k" * 400} for n in range(1000)]
+            assert (await client.call("POST", "/api/targets", {"servers": rows}))[0] == 200
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(address)
+            sock.sendall(b"GET /api/targets HTTP/1.1\r\nHost: x\r\n\r\n" * 40)
+            before = service.board.encoded
+            assert (await client.get())[0] == 200
+            await asyncio.to_thread(closed, sock)
+            assert service.board.encoded <= before + 1
+
+    run(body())
+
+
+def closed(sock: socket.socket) -> None:
+    """Waits, without reading, until the other side has given up."""
+    sock.settimeout(20)
+    while True:
+        try:
+            sock.send(b"x")
+        except OSError:
+            return
+        signal.sigtimedwait([], 0.02)
+
+
+# Leases
+
+
+def test_a_lease_runs_out_and_a_renewal_keeps_it() -> None:
+    leases = Leases(0.0)
+    for n in range(10):
+        leases.grant(f"s{n}", 5.0, 0.0)
+    now = 0.0
+    while now < 4.5:
+        now += 0.25
+        assert leases.look(now) == []
+    for n in range(1, 10):
+        assert leases.renew(f"s{n}", now)
+    assert leases.look(now + 0.5) == ["s0"]
+    leases.drop("s0")
+    assert not leases.renew("s0", now) and not leases.renew("never", now)
+
+
+def test_a_service_that_stood_still_gives_each_lease_its_whole_life_again() -> None:
+    leases = Leases(0.0)
+    leases.grant("a", 5.0, 0.0)
+    assert leases.look(0.5) == [] and leases.look(100.0) == []  # stopped for longer than a lease
+    assert leases.look(100.0 + PAUSED) == [] and leases.ends["a"] == 105.0
+    assert Leases(50.0, [("a", 5.0)]).ends["a"] == 55.0  # and so does one that starts
+
+
+def test_when_too_many_would_run_out_they_are_held_until_renewed_or_released() -> None:
+    leases = Leases(0.0)
+    for n in range(10):
+        leases.grant(f"s{n}", 5.0, 0.0)
+    now = 0.0
+    while now < 6.0:
+        now += 0.5
+        assert leases.look(now) == []
+    assert set(leases.held) == {f"s{n}" for n in range(10)}
+    assert leases.renew("s3", now) and "s3" not in leases.held
+    assert leases.release() == [f"s{n}" for n in range(10) if n != 3]
+
+
+def test_held_entries_are_shown_and_go_when_an_operator_says_so(tmp_path: Path) -> None:
+    clock = [0.0]
+
+    async def body() -> None:
+        async with serving(tmp_path, clock=lambda: clock[0]) as (service, client, _):
+            for n in range(4):
+                await client.put(f"s{n}", ttl_s=1.0)
+            await client.put("kept")
+            while not service.leases.held:
+                clock[0] += 0.1
+                await asyncio.sleep(0.05)
+            assert len((await client.get("/status"))[1]["held"]) == 4
+            assert len(service.board.entries()) == 5
+            assert (await client.call("POST", "/api/release?most=3"))[0] == 200
+            assert len(service.board.entries()) == 2
+            assert (await client.call("POST", "/api/release"))[0] == 200
+            assert [r["id"] for r in service.board.entries()] == ["kept"]
+
+    run(body())
+
+
+# The store
+
+
+def test_what_is_written_is_there_again_with_its_version(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    version = store.given
+    store.write(version + 1, [(row("a"), 5.0), (row("b"), 0.0)])
+    store.write(version + 2, [(row("a", "gone"), 0.0)])
+    store.close()
+    again = Store(tmp_path)
+    assert again.given == version + 2 and again.rows == [(row("b"), version + 1, 0.0)]
+    assert again.name == store.name
+    again.close()
+
+
+def test_two_services_on_one_folder(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    with pytest.raises(CannotOpen, match="another service holds it"):
+        Store(tmp_path)
+    store.close()
+    Store(tmp_path).close()
+
+
+def test_a_lost_folder_begins_above_all_it_gave_and_a_damaged_store_even_with_the_clock_set_back(
+        tmp_path: Path) -> None:
+    store = Store(tmp_path / "one", now=lambda: 1_000_000)
+    for n in range(50):
+        store.write(store.given + 1, [(row(f"s{n}"), 0.0)])
+    given = store.given
+    store.close()
+    assert Store(tmp_path / "two", now=lambda: 1_000_000 + 1_000).given > given  # a second later
+    (tmp_path / "one" / "list.db").write_bytes(b"not a store at all" * 100)
+    for ending in ("-wal", "-shm"):
+        (tmp_path / "one" / f"list.db{ending}").unlink(missing_ok=True)
+    again = Store(tmp_path / "one", now=lambda: 0)
+    assert again.given > given and again.rows == []
+    again.close()
+
+
+@pytest.mark.parametrize("damage", ["short", "flipped", "version", "empty"])
+def test_a_damaged_store_is_set_aside_and_never_served(
+        damage: str, tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    store = Store(tmp_path)
+    store.write(store.given + 1, [(row(f"s{n}"), 0.0) for n in range(200)])
+    given = store.given
+    store.close()
+    path = tmp_path / "list.db"
+    data = bytearray(path.read_bytes())
+    if damage == "short":
+        path.write_bytes(data[:len(data) // 2])
+    elif damage == "empty":
+        base = sqlite3.connect(path)
+        base.execute("DELETE FROM meta WHERE key = 'version'")
+        base.commit()
+        base.close()
+    else:
+        mark = b'"id": "s7"' if damage == "flipped" else f"{given} ".encode()
+        at = data.index(mark) + len(mark) - 2
+        data[at] ^= 1
+        path.write_bytes(data)
+    again = Store(tmp_path)
+    assert again.rows == [] and again.given > given
+    assert any("damaged" in record.message for record in caplog.records)
+    assert len([p for p in tmp_path.iterdir() if p.name.startswith("list.db.damaged-")]) == 1
+    again.close()
+
+
+def test_a_copy_is_restored_above_all_versions_given_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    folder, copy = tmp_path / "list", tmp_path / "copy.db"
+    store = Store(folder)
+    store.write(store.given + 1, [(row("a"), 0.0), (row("b"), 7.0)])
+    other = sqlite3.connect(copy)
+    store.base.backup(other)
+    other.close()
+    store.write(store.given + 1, [(row("a", "gone"), 0.0), (row("c"), 0.0)])
+    given = store.given
+    store.close()
+    again = Store(folder, restore=copy, now=lambda: 0)
+    assert again.given > given
+    assert sorted((found["id"], life) for found, _, life in again.rows) == [("a", 0.0), ("b", 7.0)]
+    again.close()
+    bad = tmp_path / "bad.db"
+    bad.write_bytes(copy.read_bytes()[:5000])
+    for wrong in (bad, tmp_path / "none"):
+        with pytest.raises(CannotOpen):
+            Store(folder, restore=wrong)
+    kept = Store(folder)
+    assert [found["id"] for found, _, _ in kept.rows] == [found["id"] for found, _, _ in again.rows]
+    kept.close()
+
+
+def test_a_folder_that_cannot_be_written_is_refused(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("x", encoding="utf-8")
+    with pytest.raises(CannotOpen):
+        Store(tmp_path / "file")
+    words = ["--listen", "127.0.0.1:0", "--data", str(tmp_path / "file")]
+    done = subprocess.run([sys.executable, "-m", "mulleinhall.registry", *words], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
+
+
+WRITER = """
+import sys
+from pathlib import Path
+from mulleinhall.registry.store import Store
+store = Store(Path(sys.argv[1]))
+print("open", store.given, flush=True)
+number = 0
+while True:
+    number += 1
+    version = store.given + 1
+    name = f"s{version % 7}"
+    state = "gone" if version % 5 == 0 else "ready"
+    row = {"id": name, "addr": "127.0.0.1:1", "state": state, "cell": version}
+    store.write(version, [(row, 0.0)])
+    print(version, flush=True)
+"""
+
+
+def test_kill_9_in_the_midst_of_writes_200_times_loses_nothing_answered_and_repeats_no_version(
+        tmp_path: Path) -> None:
+    rng, answered, rows, begun = random.Random(5), 0, dict[str, int](), 0
+    given = set[int]()
+    for _ in range(200):
+        child = subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path)], cwd=ROOT,
+                                 stdout=subprocess.PIPE, text=True)
+        assert child.stdout is not None
+        opened = int(child.stdout.readline().split()[1])
+        begun = begun or opened
+        assert opened >= answered  # every write that was answered is there
+        for _ in range(rng.randrange(12)):
+            child.stdout.readline()
+        os.kill(child.pid, signal.SIGKILL)
+        told = [int(line) for line in child.stdout.read().splitlines() if line.strip().isdigit()]
+        child.wait()
+        answered = max([answered, opened, *told])
+        assert not given & set(told)
+        given |= set(told)
+    store = Store(tmp_path)
+    assert store.given >= answered
+    for found, version, _ in store.rows:
+        rows[found["id"]] = found["cell"]
+        assert found["cell"] == version and found["state"] == "ready"
+    lasts = {f"s{v % 7}": v for v in range(store.given - 6, store.given + 1)}
+    for name, last in lasts.items():  # each name was written last at one of the last seven versions
+        if last > begun:
+            assert rows.get(name) == (None if last % 5 == 0 else last)
+    store.close()
+
+
+def test_the_program_serves_stops_and_serves_again_after_kill_9(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text(TOKEN, encoding="utf-8")
+
+    async def start() -> tuple[asyncio.subprocess.Process, str]:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mulleinhall.registry", "--listen", "127.0.0.1:0", "--data",
+            str(tmp_path / "data"), "--token-file", str(tmp_path / "token"), cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE)
+        assert child.stderr is not None
+        while b" on " not in (line := await child.stderr.readline()):
+            assert line, "it has ended"
+        return child, "http://" + line.decode().rsplit(" ", 1)[1].strip()
+
+    async def body() -> None:
+        version = 0
+        async with aiohttp.ClientSession() as web:
+            for turn in range(4):
+                child, base = await start()
+                client = Client(web, base)
+                _, answer = await client.get()
+                assert answer["version"] >= version and len(answer["servers"]) == turn
+                version = await client.put(f"s{turn}")
+                child.send_signal(signal.SIGKILL if turn % 2 else signal.SIGTERM)
+                assert await child.wait() == (-signal.SIGKILL if turn % 2 else 0)
+
+    run(body())
+
+
+# A model
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(steps=st.lists(st.one_of(
+    st.tuples(st.just("put"), st.integers(0, 5)), st.tuples(st.just("gone"), st.integers(0, 5)),
+    st.tuples(st.just("read"), st.integers(0, 2)), st.tuples(st.just("restart"), st.just(0))), max_size=60))
+def test_each_watcher_has_the_services_list_at_its_version_whatever_happened(
+        steps: list[tuple[str, int]], tmp_path_factory: pytest.TempPathFactory) -> None:
+    folder = tmp_path_factory.mktemp("store")
+    store = Store(folder)
+    board = Board(store.given)
+    past: dict[int, dict[str, Row]] = {board.version: {}}
+    held: list[tuple[int | None, dict[str, Row]]] = [(None, {}) for _ in range(3)]
+    for step, number in steps:
+        if step in ("put", "gone"):
+            name = f"s{number}"
+            if step == "gone" and board.entry(name) is None:
+                continue
+            made = row(name, "ready" if step == "put" else "gone", port=1 + board.version % 60_000)
+            store.write(board.version + 1, [(made, 0.0)])
+            board.apply(board.version + 1, [made])
+            past[board.version] = {r["id"]: r for r in board.entries()}
+        elif step == "restart":
+            store.close()
+            store = Store(folder)
+            assert store.given == board.version
+            board = Board(store.given, ((found, changed) for found, changed, _ in store.rows))
+            assert {r["id"]: r for r in board.entries()} == past[board.version]
+        else:
+            after, mine = held[number]
+            answer = json.loads(board.answer(after))
+            mine = {} if answer["full"] else dict(mine)
+            for found in answer["servers"]:
+                mine[found["id"]] = found
+                if found["state"] == "gone":
+                    del mine[found["id"]]
+            held[number] = answer["version"], mine
+            assert after is None or answer["version"] >= after
+            assert mine == past[answer["version"]]
+    store.close()
+
+
+def test_the_ingress_loads_none_of_it() -> None:
+    code = "import sys, mulleinhall.__main__; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
+    assert not {"mulleinhall.registry", "aiohttp", "sqlite3"} & set(done.stdout.split())
+    assert TOGETHER < 0.2
