Show the version of the list in use and its age among the figures

Need: staff can't see whether an ingress still hears from discovery, or which list it holds. Change: app.list.version and app.list.age_ms in show-stat, beside the present figures.

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -74,6 +75,12 @@
         self.address, self.settled = address, False  # `settled`: the last call went well
         # Of the list that is held: what changed since is enough; None asks for all of it.
         self.version: int | None = version or None
+        self.held, self.heard = version, 0.0  # version of the list in use; when the agent last spoke, or 0
+
+    def figures(self) -> dict[str, int]:
+        """The version held, and how long ago the agent last said that it holds, -1 for never."""
+        age = -1 if not self.heard else round((time.monotonic() - self.heard) * 1000)
+        return {"list.version": self.held, "list.age_ms": age}
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the agent is sought at `address`, at once and for the whole list."""
@@ -128,6 +135,7 @@
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
         self.version, self.settled = listing.version, True
+        self.held, self.heard = listing.version, time.monotonic()
         if listing.full:
             self.told(ListKind.REPLACE, listing)
         elif listing.backends:
--- a/mulleinhall/net/figures.py
+++ b/mulleinhall/net/figures.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Mapping
 from enum import Enum
 
+GAUGES = ("health.", "list.")  # what stands as it is; all else is counted from the start
+
 
 class End(Enum):
     """How a request ended."""
@@ -33,12 +35,12 @@
         self.outstanding -= 1
         self.ends[name, end] += 1
 
-    def lines(self, discovered: int, ejected: int, health: Mapping[str, int]) -> list[str]:
+    def lines(self, discovered: int, ejected: int, more: Mapping[str, int]) -> list[str]:
         return [
             *(f"app.results.{name}.{end.value}:{count}|c" for (name, end), count in self.ends.items()),
             f"app.forwards:{self.forwards}|c",
             f"app.outstanding:{self.outstanding}|g",
             f"app.discovered:{discovered}|g",
             f"app.ejected:{ejected}|g",
-            *(f"app.{name}:{count}|{'g' if name.startswith('health.') else 'c'}"
-              for name, count in health.items())]
+            *(f"app.{name}:{count}|{'g' if name.startswith(GAUGES) else 'c'}"
+              for name, count in more.items())]
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -300,7 +300,7 @@
                 return "fail ending" if self.ending else "ok"
             case "show-stat":
                 lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()),
-                                           self.gateway.health())
+                                           self.gateway.health() | self.discovery.figures())
                 return "\n".join([*lines, "eof"])
             case "show-config":
                 return "\n".join([*self.generations.lines(), "eof"])
--- a/tests/test_net_figures.py
+++ b/tests/test_net_figures.py
@@ -30,7 +30,7 @@
     for line in lines:
         name, _, rest = line.removeprefix("app.").partition(":")
         figure, _, kind = rest.partition("|")
-        gauge = name in ("outstanding", "discovered", "ejected") or name.startswith("health.")
+        gauge = name in ("outstanding", "discovered", "ejected") or name.startswith(("health.", "list."))
         assert kind == ("g" if gauge else "c")
         found[name] = int(figure)
     return found
@@ -70,6 +70,7 @@
             object.__setattr__(served.config, "most_open", 0)
             await caller.ask(command("too many"))
             shown = await figures(served)
+            assert (shown.pop("list.version"), shown.pop("list.age_ms")) == (1, -1)  # nobody has told since
             assert shown.pop("health.healthy") == 1
             for name in ("health.suspect", "health.ejected", "health.trial", "ejections", "probes",
                          "odd_reports"):
