Relay the list from one watch upstream, and keep it through outages

Need: ingresses need an agent near by that goes on while the service is out and whose versions only rise.

Change: `python -m mulleinhall.registry relay`; reading is shared with the service (readers.py), which names its store in X-Store. A stated rule for older versions and other stores; the last list on disk with a checksum. A test stops the service for longer than a lease (SIGSTOP); the model has leases and renewals.

--- a/mulleinhall/registry/service.py
+++ b/mulleinhall/registry/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import hmac
 import logging
-import random
 import sqlite3
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -16,16 +15,13 @@
 from mulleinhall.net.schema import Check, Many, Number, Shape, Text, parse
 from mulleinhall.registry.board import Board, Row
 from mulleinhall.registry.leases import Leases
+from mulleinhall.registry.readers import Readers, Refused, query, told
 from mulleinhall.registry.store import Store
 
 log = logging.getLogger(__name__)
 
-MOST_WATCHERS = 2000
-MOST_WAIT_MS = 60_000
-TOGETHER = 0.05  # s: changes within it make one answer
 MOST_BODY = 1 << 20  # bytes of a write
 LOOK = 0.25  # s between looks at the leases
-COME_AGAIN = (1, 5)  # s, drawn anew for each that is turned away
 ENTRY = Shape(
     {"id": Text(), "addr": Text(), "zone": Text(empty=True), "kind": Text(empty=True),
      "cell": Number(whole=True), "state": Text(("ready", "draining")), "weight": Number(high=1e9),
@@ -35,14 +31,6 @@
 DEFAULTS = {"zone": "", "kind": "", "cell": 0, "state": "ready", "weight": 1.0, "started_ms": 0}
 
 
-class Refused(Exception):
-    """A call that changes nothing."""
-
-    def __init__(self, status: int, *faults: str) -> None:
-        super().__init__("; ".join(faults))
-        self.status, self.faults = status, faults
-
-
 def read_entries(text: str, name: str | None = None) -> list[tuple[Row, float]]:
     """The entries of a write, each with its lease in seconds, 0 for none."""
     try:
@@ -71,19 +59,15 @@
              float(row.get("ttl_s", 0.0))) for row in rows]
 
 
-class Service:
-    """The board, its store and its watchers."""
+class Service(Readers):
+    """The board, its store and its readers."""
 
     def __init__(self, store: Store, token: str, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__(Board(store.given, ((row, changed) for row, changed, _ in store.rows)), store.name)
         self.store, self.token, self.clock = store, token, clock
-        self.board = Board(store.given, ((row, changed) for row, changed, _ in store.rows))
         self.leases = Leases(clock(), ((row["id"], life) for row, _, life in store.rows if life))
         self.thread = ThreadPoolExecutor(1, "store")
         self.writing = asyncio.Lock()
-        self.loop = asyncio.get_running_loop()
-        self.changed: asyncio.Future[None] = self.loop.create_future()
-        self.waker: asyncio.TimerHandle | None = None
-        self.watchers, self.turned_away = 0, 0
         self.looking = self.loop.create_task(self._look())
 
     # Changes
@@ -102,15 +86,9 @@
                 self.leases.grant(row["id"], life, self.clock())
             else:
                 self.leases.drop(row["id"])
-        if self.waker is None:
-            self.waker = self.loop.call_later(TOGETHER, self._wake)
+        self.tell()
         return version
 
-    def _wake(self) -> None:
-        self.waker = None
-        waiting, self.changed = self.changed, self.loop.create_future()
-        waiting.set_result(None)
-
     def _matches(self, name: str, match: str | None) -> None:
         found = self.board.entry(name)
         if match is not None and (found is None or match.strip('" ') != str(found[0])):
@@ -139,35 +117,6 @@
 
     # Calls
 
-    async def targets(self, request: web.Request) -> web.StreamResponse:
-        after, wait = self._query(request, "after"), self._query(request, "wait_ms")
-        if after is not None and wait and after == self.board.version:
-            if self.watchers >= MOST_WATCHERS:
-                return self.busy()
-            self.watchers += 1
-            try:
-                async with asyncio.timeout(min(wait, MOST_WAIT_MS) / 1000):
-                    while after == self.board.version:
-                        await asyncio.shield(self.changed)
-            except TimeoutError:
-                pass
-            finally:
-                self.watchers -= 1
-        return web.Response(body=self.board.answer(after), content_type="application/json")
-
-    def busy(self) -> web.Response:
-        self.turned_away += 1
-        return web.json_response({"error": "too many"}, status=503, headers={
-            "Retry-After": str(random.randint(*COME_AGAIN))})
-
-    def _query(self, request: web.Request, name: str) -> int | None:
-        text = request.query.get(name)
-        if text is None:
-            return None
-        if not (text.isascii() and text.isdecimal() and len(text) <= 18):
-            raise Refused(400, f"{name}: {text[:40]!r} is not a whole number from 0")
-        return int(text)
-
     async def put(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["name"]
         rows = read_entries(await request.text(), name)
@@ -206,7 +155,7 @@
 
     async def release(self, request: web.Request) -> web.StreamResponse:
         """An operator says that the held ones are gone; `most` bounds how many, the oldest first."""
-        most = self._query(request, "most")
+        most = query(request, "most")
         return self._done(await self.remove(self.leases.release()[:most]) or self.board.version)
 
     def _done(self, version: int) -> web.Response:
@@ -222,19 +171,16 @@
     @web.middleware
     async def guard(self, request: web.Request,
                     handler: Callable[[web.Request], Awaitable[web.StreamResponse]]) -> web.StreamResponse:
-        try:
-            if request.method != "GET" and not self._allowed(request):
-                raise Refused(401, "a token is needed")
-            return await handler(request)
-        except Refused as refused:
-            return web.json_response({"errors": refused.faults}, status=refused.status)
+        if request.method != "GET" and not self._allowed(request):
+            raise Refused(401, "a token is needed")
+        return await handler(request)
 
     def _allowed(self, request: web.Request) -> bool:
         given = request.headers.get("Authorization", "").removeprefix("Bearer ")
         return bool(self.token) and hmac.compare_digest(given.encode(), self.token.encode())
 
     def app(self) -> web.Application:
-        app = web.Application(middlewares=[self.guard], client_max_size=MOST_BODY)
+        app = web.Application(middlewares=[told, self.guard], client_max_size=MOST_BODY)
         app.add_routes([
             web.get("/api/targets", self.targets), web.get("/status", self.status),
             web.post("/api/targets", self.post), web.put("/api/targets/{name}", self.put),
@@ -244,8 +190,7 @@
 
     async def close(self) -> None:
         self.looking.cancel()
-        if self.waker is not None:
-            self.waker.cancel()
+        self.silence()
         await asyncio.gather(self.looking, return_exceptions=True)
         async with self.writing:
             self.thread.shutdown()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -23,12 +23,13 @@
 
 from mulleinhall.net.discovery import read_listing
 from mulleinhall.registry import board as board_module
+from mulleinhall.registry import readers as readers_module
 from mulleinhall.registry import server as server_module
-from mulleinhall.registry import service as service_module
 from mulleinhall.registry.board import Board, Row
 from mulleinhall.registry.leases import PAUSED, Leases
+from mulleinhall.registry.readers import TOGETHER
 from mulleinhall.registry.server import Listener
-from mulleinhall.registry.service import TOGETHER, Service
+from mulleinhall.registry.service import Service
 from mulleinhall.registry.store import CannotOpen, Store
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -163,7 +164,7 @@
 
 
 def test_a_wait_above_the_limit_is_the_limit(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(service_module, "MOST_WAIT_MS", 50)
+    monkeypatch.setattr(readers_module, "MOST_WAIT_MS", 50)
 
     async def body() -> None:
         async with serving(tmp_path) as (service, client, _):
@@ -176,7 +177,7 @@
 
 def test_too_many_watchers_are_told_to_come_again_at_times_of_their_own(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(service_module, "MOST_WATCHERS", 3)
+    monkeypatch.setattr(readers_module, "MOST_WATCHERS", 3)
 
     async def body() -> None:
         async with serving(tmp_path) as (service, client, _):
@@ -623,47 +624,117 @@
     run(body())
 
 
+def test_a_service_that_was_stopped_for_longer_than_a_lease_ends_none(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text(TOKEN, encoding="utf-8")
+
+    async def body() -> None:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mulleinhall.registry", "--listen", "127.0.0.1:0", "--data",
+            str(tmp_path / "data"), "--token-file", str(tmp_path / "token"), cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE)
+        assert child.stderr is not None
+        while b" on " not in (line := await child.stderr.readline()):
+            assert line, "it has ended"
+        async with aiohttp.ClientSession() as web:
+            client = Client(web, "http://" + line.decode().rsplit(" ", 1)[1].strip())
+            await client.put("alone", ttl_s=2.0)
+            child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(3.0)
+            child.send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+            assert [r["id"] for r in (await client.get())[1]["servers"]] == ["alone"]
+            while (await client.get())[1]["servers"]:  # and then it runs out as any other
+                await asyncio.sleep(0.1)
+        child.terminate()
+        assert await child.wait() == 0
+
+    run(body())
+
+
 # A model
 
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("put"), st.integers(0, 5)), st.tuples(st.just("lease"), st.integers(0, 5)),
+    st.tuples(st.just("renew"), st.integers(0, 5)), st.tuples(st.just("gone"), st.integers(0, 5)),
+    st.tuples(st.just("wait"), st.integers(1, 12)), st.tuples(st.just("read"), st.integers(0, 2)),
+    st.tuples(st.just("restart"), st.just(0))), max_size=80)
+
+
+class Model:
+    """The service without its sockets: store, board and leases, and the list at each version."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.now, self.past = folder, 0.0, dict[int, dict[str, Row]]()
+        self.open()
 
-@settings(max_examples=60, deadline=None, derandomize=True)
-@given(steps=st.lists(st.one_of(
-    st.tuples(st.just("put"), st.integers(0, 5)), st.tuples(st.just("gone"), st.integers(0, 5)),
-    st.tuples(st.just("read"), st.integers(0, 2)), st.tuples(st.just("restart"), st.just(0))), max_size=60))
+    def open(self) -> None:
+        self.store = Store(self.folder)
+        self.board = Board(self.store.given, ((found, changed) for found, changed, _ in self.store.rows))
+        self.leases = Leases(self.now, ((found["id"], life) for found, _, life in self.store.rows if life))
+        self.past.setdefault(self.board.version, self.list())
+
+    def list(self) -> dict[str, Row]:
+        return {found["id"]: found for found in self.board.entries()}
+
+    def write(self, name: str, state: str, life: float = 0.0) -> None:
+        made = row(name, state, port=1 + self.board.version % 60_000)
+        self.store.write(self.board.version + 1, [(made, life)])
+        self.board.apply(self.board.version + 1, [made])
+        if life:
+            self.leases.grant(name, life, self.now)
+        else:
+            self.leases.drop(name)
+        self.past[self.board.version] = self.list()
+
+    def wait(self, steps: int) -> None:
+        for _ in range(steps):
+            self.now += 0.5
+            due = {n for n, end in self.leases.ends.items() if end <= self.now}
+            out = self.leases.look(self.now)
+            assert set(out) <= due  # none goes before its time
+            for name in out:
+                self.write(name, "gone")
+
+    def restart(self) -> None:
+        self.store.close()
+        before = self.list(), self.board.version, dict(self.leases.lives)
+        self.open()
+        assert (self.list(), self.board.version, dict(self.leases.lives)) == before
+        assert all(end >= self.now + life for (_, end), life in zip(
+            sorted(self.leases.ends.items()), (life for _, life in sorted(before[2].items())), strict=True))
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(steps=STEPS)
 def test_each_watcher_has_the_services_list_at_its_version_whatever_happened(
         steps: list[tuple[str, int]], tmp_path_factory: pytest.TempPathFactory) -> None:
-    folder = tmp_path_factory.mktemp("store")
-    store = Store(folder)
-    board = Board(store.given)
-    past: dict[int, dict[str, Row]] = {board.version: {}}
+    model = Model(tmp_path_factory.mktemp("store"))
     held: list[tuple[int | None, dict[str, Row]]] = [(None, {}) for _ in range(3)]
     for step, number in steps:
-        if step in ("put", "gone"):
-            name = f"s{number}"
-            if step == "gone" and board.entry(name) is None:
-                continue
-            made = row(name, "ready" if step == "put" else "gone", port=1 + board.version % 60_000)
-            store.write(board.version + 1, [(made, 0.0)])
-            board.apply(board.version + 1, [made])
-            past[board.version] = {r["id"]: r for r in board.entries()}
-        elif step == "restart":
-            store.close()
-            store = Store(folder)
-            assert store.given == board.version
-            board = Board(store.given, ((found, changed) for found, changed, _ in store.rows))
-            assert {r["id"]: r for r in board.entries()} == past[board.version]
-        else:
-            after, mine = held[number]
-            answer = json.loads(board.answer(after))
-            mine = {} if answer["full"] else dict(mine)
-            for found in answer["servers"]:
-                mine[found["id"]] = found
-                if found["state"] == "gone":
-                    del mine[found["id"]]
-            held[number] = answer["version"], mine
-            assert after is None or answer["version"] >= after
-            assert mine == past[answer["version"]]
-    store.close()
+        name = f"s{number}"
+        match step:
+            case "put" | "lease":
+                model.write(name, "ready", 2.0 + number if step == "lease" else 0.0)
+            case "gone" if model.board.entry(name):
+                model.write(name, "gone")
+            case "renew":
+                model.leases.renew(name, model.now)
+            case "wait":
+                model.wait(number)
+            case "restart":
+                model.restart()
+            case "read":
+                after, mine = held[number]
+                answer = json.loads(model.board.answer(after))
+                mine = {} if answer["full"] else dict(mine)
+                for found in answer["servers"]:
+                    mine[found["id"]] = found
+                    if found["state"] == "gone":
+                        del mine[found["id"]]
+                held[number] = answer["version"], mine
+                assert after is None or answer["version"] >= after
+                assert mine == model.past[answer["version"]] == model.list()
+    model.store.close()
 
 
 def test_the_ingress_loads_none_of_it() -> None:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,263 @@
+"""The relay, and a real ingress behind the real service."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from mulleinhall.registry import relay as relay_module
+from mulleinhall.registry.relay import Kept, Relay
+from mulleinhall.registry.server import Listener
+from tests.peers import Caller, Peer, Reader, Writer, command, config, read_command, value
+from tests.test_net_control import SECOND
+from tests.test_net_figures import figures
+from tests.test_net_ingress import serving as ingress
+from tests.test_net_restart import free_port
+from tests.test_registry import ROOT, TOKEN, Client, row, run, serving
+
+
+@asynccontextmanager
+async def relaying(
+        *upstream: tuple[str, int], folder: Path | None = None) -> AsyncIterator[tuple[Relay, Client]]:
+    relay = Relay(upstream, Kept(folder))
+    listener = Listener(relay.app())
+    host, port = await listener.open("127.0.0.1", 0)
+    try:
+        async with aiohttp.ClientSession() as web_client:
+            yield relay, Client(web_client, f"http://{host}:{port}")
+    finally:
+        await listener.close()
+        await relay.close()
+
+
+@asynccontextmanager
+async def upstream(answer: Any) -> AsyncIterator[tuple[str, int]]:
+    """One that answers each call as it is told: a store's name and a body."""
+    async def call(request: web.Request) -> web.StreamResponse:
+        store, body = answer()
+        if request.query.get("wait_ms"):
+            await asyncio.sleep(0.05)
+        return web.Response(body=body if isinstance(body, bytes) else json.dumps(body).encode(),
+                            headers={"X-Store": store})
+
+    app = web.Application()
+    app.add_routes([web.get("/api/targets", call)])
+    listener = Listener(app)
+    try:
+        yield await listener.open("127.0.0.1", 0)
+    finally:
+        await listener.close()
+
+
+async def until(true: Any) -> None:
+    while not true():
+        await asyncio.sleep(0.01)
+
+
+def listing(version: int, *names: str) -> dict[str, Any]:
+    return {"version": version, "full": True, "servers": [row(name) for name in names]}
+
+
+def names(relay: Relay) -> list[str]:
+    return sorted(r["id"] for r in relay.board.entries())
+
+
+def test_changes_come_through_one_watch_upstream_however_many_readers(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with serving(tmp_path) as (service, client, address), relaying(address) as (relay, near):
+            await client.put("one")
+            await until(lambda: names(relay) == ["one"])
+            tasks = [near.watch(relay.board.version) for _ in range(30)]
+            await until(lambda: relay.watchers == 30 and service.watchers == 1)
+            began = time.monotonic()
+            await client.call("POST", "/api/targets/one/drain")
+            for _, answer in await asyncio.gather(*tasks):
+                assert [(r["id"], r["state"]) for r in answer["servers"]] == [("one", "draining")]
+            assert time.monotonic() - began < 2.0
+            version = relay.board.version
+            await client.call("DELETE", "/api/targets/one")
+            _, answer = await near.watch(version)
+            assert [r["state"] for r in answer["servers"]] == ["gone"] and answer["version"] > version
+
+    run(body())
+
+
+def test_through_an_outage_it_serves_what_it_holds_and_comes_back(tmp_path: Path) -> None:
+    async def body() -> None:
+        spare = free_port()
+        async with serving(tmp_path) as (_, client, address), relaying(
+                ("127.0.0.1", spare), address) as (relay, near):
+            await client.put("one")
+            await until(lambda: names(relay) == ["one"])  # the first address is dead: the second is asked
+            assert (await near.get("/status"))[1]["connected"]
+        folder = tmp_path / "relay"
+        async with serving(tmp_path) as (_, client, address):
+            async with relaying(address, folder=folder) as (relay, near):
+                await until(lambda: names(relay) == ["one"])
+                version = relay.board.version
+            async with relaying(("127.0.0.1", spare), folder=folder) as (relay, near):
+                _, answer = await near.get()
+                assert (answer["version"], [r["id"] for r in answer["servers"]]) == (version, ["one"])
+                _, status = await near.get("/status")
+                assert status["age_s"] is None and not status["connected"]
+                relay.addresses = [address]
+                await client.put("two")
+                await until(lambda: names(relay) == ["one", "two"])
+                assert relay.board.version > version
+
+    run(body())
+
+
+def test_started_in_an_outage_without_a_list_it_says_come_again() -> None:
+    async def body() -> None:
+        async with relaying(("127.0.0.1", free_port())) as (_, near), near.web.get(
+                f"{near.base}/api/targets") as answer:
+            assert answer.status == 503 and int(answer.headers["Retry-After"]) >= 1
+
+    run(body())
+
+
+def test_what_is_stale_or_makes_no_sense_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[Any] = ["A", listing(50, "one")]
+
+    async def body() -> None:
+        async with upstream(lambda: tuple(told)) as address, relaying(address) as (relay, _):
+            await until(lambda: names(relay) == ["one"])
+            seen = relay.board.version
+            for nonsense in (("A", listing(40, "other")), ("A", b"{"), ("A", {"version": "x", "servers": []}),
+                             ("A", {"version": 60, "full": True}), ("B", listing(90)),
+                             ("B", listing(20, "other")), ("A", b"[]")):
+                failures = relay.failures
+                told[:] = nonsense
+                await until(lambda before=failures: relay.failures > before or relay.failures > 3)
+                await asyncio.sleep(0.1)
+                assert names(relay) == ["one"] and relay.board.version == seen
+            told[:] = "A", {"version": 61, "full": True, "servers": [row("one"), {"id": "bad"}, row("two")]}
+            await until(lambda: names(relay) == ["one", "two"])  # what makes sense of it
+
+    run(body())
+
+
+def test_another_store_is_followed_and_readers_see_versions_rise(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(relay_module, "ANOTHER_AFTER", 0.3)
+    told: list[Any] = ["A", listing(50, "one", "two")]
+
+    async def body() -> None:
+        async with upstream(lambda: tuple(told)) as address, relaying(address) as (relay, near):
+            await until(lambda: names(relay) == ["one", "two"])
+            first = relay.board.version
+            told[:] = "B", listing(70, "two", "three")  # higher: at once
+            await until(lambda: names(relay) == ["three", "two"])
+            second = relay.board.version
+            told[:] = "C", listing(5, "four")  # lower: once B has not been heard of for a while
+            await until(lambda: names(relay) == ["four"])
+            assert first < second < relay.board.version
+            _, answer = await near.get(f"/api/targets?after={second}")
+            states = {r["id"]: r["state"] for r in answer["servers"]}
+            assert states == {"four": "ready", "two": "gone", "three": "gone"}
+
+    run(body())
+
+
+def test_a_damaged_last_list_is_not_used(tmp_path: Path) -> None:
+    kept = Kept(tmp_path)
+    kept.save({"version": 7, "rows": [row("one")], "store": "A", "upstream": 7})
+    assert kept.load() == {"version": 7, "rows": [row("one")], "store": "A", "upstream": 7}
+    path = tmp_path / "relay.json"
+    path.write_text(path.read_text(encoding="utf-8").replace("one", "two"), encoding="utf-8")
+    assert kept.load() is None
+
+
+# A real ingress, the real service and the real relay
+
+
+async def start(*words: str) -> asyncio.subprocess.Process:
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "mulleinhall.registry", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+    assert child.stderr is not None
+    while b" on " not in (line := await child.stderr.readline()):
+        assert line, "it has ended"
+    return child
+
+
+def test_servers_join_drain_and_go_under_requests_while_the_service_is_killed(tmp_path: Path) -> None:
+    (tmp_path / "token").write_text(TOKEN, encoding="utf-8")
+    list_port, relay_port = free_port(), free_port()
+    service = ("--listen", f"127.0.0.1:{list_port}", "--data", str(tmp_path / "list"), "--token-file",
+               str(tmp_path / "token"))
+    told_gone: dict[str, float] = {}
+    late: list[str] = []
+
+    def script(name: str) -> Any:
+        async def play(_: int, reader: Reader, writer: Writer) -> None:
+            while True:
+                words = await read_command(reader)
+                if name in told_gone and time.monotonic() - told_gone[name] > 2.0:
+                    late.append(name)
+                writer.write(value(words[2]))
+        return play
+
+    async def body() -> None:
+        child = await start(*service)
+        passing = await start("relay", "--upstream", f"127.0.0.1:{list_port}", "--listen",
+                              f"127.0.0.1:{relay_port}")
+        async with aiohttp.ClientSession() as web_client, Peer(script("a")) as a, Peer(
+                script("b")) as b, Peer(script("c")) as c:
+            client = Client(web_client, f"http://127.0.0.1:{list_port}")
+            peers = {"a": a, "b": b, "c": c}
+            await client.put("a", addr=f"127.0.0.1:{a.address[1]}")
+            over, answers = asyncio.Event(), list[Any]()
+            near = config(discovery=f"127.0.0.1:{relay_port}", control=SECOND)
+            async with ingress(near) as (served, address):
+                await until(lambda: served.backends.listed() == 1)
+
+                async def flow(number: int) -> None:
+                    caller = await Caller.to(address)
+                    while not over.is_set():
+                        answers.append(await caller.ask(command(customer=number)))
+                        await asyncio.sleep(0.02)
+
+                flows = [asyncio.create_task(flow(number)) for number in range(4)]
+                version = (await figures(served))["list.version"]
+                for turn, name in enumerate("bcabca"):
+                    if turn % 2:  # killed and started, in the midst of it
+                        child.send_signal(signal.SIGKILL)
+                        await child.wait()
+                        await asyncio.sleep(0.1)
+                        child = await start(*service)
+                    told_gone.pop(name, None)
+                    await client.put(name, addr=f"127.0.0.1:{peers[name].address[1]}", started_ms=turn)
+                    await until(lambda n=name: n in served.backends.addresses())
+                    gone = "abcabc"[turn]
+                    await client.call("POST", f"/api/targets/{gone}/drain")
+                    status, _ = await client.call("DELETE", f"/api/targets/{gone}")
+                    assert status == 200
+                    told_gone[gone] = time.monotonic()
+                    await until(lambda n=gone: n not in served.backends.addresses())
+                    now = (await figures(served))["list.version"]
+                    assert now > version
+                    version = now
+                await asyncio.sleep(2.2)  # long enough for a request to come too late
+                over.set()
+                await asyncio.gather(*flows)
+                assert (await figures(served))["list.age_ms"] >= 0
+            served_well = answers.count(b"00000000000000aa")
+            # The rest is refused, harmlessly: a server that is new gets one request at a time.
+            assert {str(a) for a in answers if a != b"00000000000000aa"} <= {"BUSY 10"}
+            assert len(answers) > 100 and served_well > 0.9 * len(answers) and not late
+        for one in (child, passing):
+            one.terminate()
+            assert await one.wait() == 0
+
+    run(body())
