Let the next process find the first after an upgrade that failed

Need: found by a test that reverts after a failed upgrade: once the new process has died, a further one logs 'nothing to take over' and ends with 'listen: ... address already in use'. Cause: each process renames its Unix socket over the path where the next one looks (Handover.open); the first never put its own back when the second died (Ingress.twins_changed). Ruled out: the listener, which the first had and used. Change: the first binds anew when the one that took over is gone. A process that comes also inherits the generations before, so that revert goes back as far as the one before could. The new test fails without it. Measured: three processes in turn, two of which die: the last has the listener and serves.

--- a/mulleinhall/net/generations.py
+++ b/mulleinhall/net/generations.py
@@ -78,6 +78,11 @@
             del self.kept[0]
         return generation
 
+    def inherit(self, before: list[Config]) -> None:
+        """In place of its own start: what the process before could go back to."""
+        present = self.current
+        self.kept = [*(Generation(0, config, present.at, "take over") for config in before), present]
+
     def refuse(self, cause: str, reason: str) -> None:
         self.refusal = f"{cause} at {_stamp(time.time())}: {reason}"[:1000]
 
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -44,7 +44,7 @@
             self.listing = Listing(int(message["version"]), True, tuple(infos), {
                 name: (host, port) for name, (host, port) in message["addresses"].items()})
             self.estate = read_estate(message["estate"], message["form"])
-            self.document: Mapping[str, Any] | None = message.get("document")
+            self.documents: list[Mapping[str, Any]] = message.get("documents", [])
         except (KeyError, TypeError, ValueError) as error:
             raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
 
@@ -71,10 +71,10 @@
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
-         estate: api.Estate, document: Mapping[str, Any]) -> dict[str, Any]:
-    """The first message to a process that takes over."""
+         estate: api.Estate, documents: Iterable[Mapping[str, Any]]) -> dict[str, Any]:
+    """The first message to a process that takes over.  `documents`: generations, the present one last."""
     return {
-        "form": FORM, "document": document, "version": version, "addresses": addresses,
+        "form": FORM, "documents": list(documents), "version": version, "addresses": addresses,
         "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
                      if info.id in addresses],
         "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
@@ -201,6 +201,10 @@
             _, link = await self.loop.create_unix_connection(lambda: Link(self, after=False), sock=taken.sock)
             link.data_received(taken.rest)
             link.tell({"serving": True})
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Lets the next process find this one; again, where one that came after had the place and is gone."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             with _reached(self.path.with_name(f"{self.path.name}.{os.getpid()}")) as name:
@@ -213,7 +217,10 @@
             log.warning("no process can take over from this one: %s", error)
             sock.close()
             return
-        self.server = await self.loop.create_unix_server(lambda: Link(self, after=True), sock=sock)
+        former, self.server = self.server, await self.loop.create_unix_server(
+            lambda: Link(self, after=True), sock=sock)
+        if former is not None:
+            former.close()
 
     def tell(self, message: Mapping[str, Any], but: Link | None = None) -> None:
         for link in list(self.links):
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -9,7 +9,7 @@
 import random
 import socket
 from collections import deque
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 from math import ceil
 from pathlib import Path
@@ -121,6 +121,7 @@
         self.taken = taken
         self.handover = None if path is None else Handover(path, self)
         self.teller: asyncio.TimerHandle | None = None
+        self.listening: asyncio.Task[None] | None = None  # for the next process, after one that is gone
         self.successor: Link | None = None  # the process that accepts in place of this one
         self.control = None if config.control is None else Control(config.control, self._call, self.clock)
         self.ending = False
@@ -132,7 +133,7 @@
         if self.taken is not None:
             self.listed(api.ListKind.RESTORED, self.taken.listing)
             self.feed(self.taken.estate)
-            self._join(self.taken.document)
+            self._join(self.taken.documents)
         self.clients.open()
         if self.control is not None:
             await self.control.open()
@@ -173,15 +174,22 @@
                 break
         return self._told(cause, reason)
 
-    def _join(self, document: Mapping[str, Any] | None) -> None:
-        """A process that comes runs what the one before runs, whatever its file says by now."""
-        if document is None:
+    def _join(self, documents: Sequence[Mapping[str, Any]]) -> None:
+        """A process that comes runs what the one before runs, whatever its file says by now, and can go back
+        where that one could."""
+        if not documents:
             return  # of a build that did not tell
-        reason, plan = self.plan(document)
+        *before, present = documents
+        reason, plan = self.plan(present)
         if reason:
             self.refuse("take over", reason)
-        elif plan is not None:
+            return
+        if plan is not None:
             self.carry_out(plan, "take over", False)
+        try:
+            self.generations.inherit([same_but(self.config, document) for document in before])
+        except BadConfig as error:
+            log.warning("take over: the generations before are let go: %s", error)
 
     async def revert(self) -> str:
         reason = self._told("revert", await self.agreement.change(None, "revert"))
@@ -325,7 +333,7 @@
         infos = [s.info for s in self.gateway.fleet.servers.values()]
         return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
                 will(self.discovery.version or 0, infos, self.backends.addresses(),
-                     self.gateway.estate(self.clock()), self.config.document))
+                     self.gateway.estate(self.clock()), (g.config.document for g in self.generations.kept)))
 
     def twins_changed(self) -> None:
         assert self.handover is not None
@@ -334,6 +342,7 @@
             if not self.ending:
                 log.warning("%s: the process that took over is gone", self.config.name)
                 self.clients.accept(True)
+                self.listening = self.loop.create_task(self.handover.listen())
         self.feed(api.Twins(len(self.handover.links), self.successor is not None))
         self._divide()
 
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -438,6 +438,18 @@
             async with process(plain(peer), path) as (second, _):
                 assert rates(first, second) == [7.0, 7.0]
                 assert second.generations.current.cause == "take over"
+                assert not await second.change(like(second, settings=with_plan(refill=8.0)), "reload")
+                await until(lambda: rates(first, second) == [8.0, 8.0])
+            await until(lambda: first.listening and first.listening.done())
+            async with process(plain(peer), path) as (third, _):
+                for link in list(first.handover.links):  # type: ignore[union-attr]
+                    assert link.transport is not None
+                    link.transport.abort()
+                await until(lambda: third.elder() is None)
+                # It can go back as far as the one that is gone could.
+                for rate in (7.0, 100.0):
+                    assert await third.revert() == "ok" and rates(third) == [rate]
+                assert await third.revert() == "fail there is no generation before"
 
     run(body())
 
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -130,6 +130,22 @@
     run(body())
 
 
+def test_after_an_upgrade_that_failed_the_next_one_finds_the_first(tmp_path: Path) -> None:
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(fleet(peer), path) as (first, _):
+            for _ in range(2):
+                async with process(fleet(peer), path):
+                    await until(lambda: first.successor is not None)
+                await until(lambda: first.successor is None and first.listening and first.listening.done())
+            async with process(fleet(peer), path) as (last, _):
+                assert last.taken is not None and where(last) == where(first)
+                caller = await Caller.to(where(last))
+                assert await caller.ask(command()) == b"00000000000000aa"
+
+    run(body())
+
+
 def test_two_upgrades_in_a_row(tmp_path: Path) -> None:
     async def body() -> None:
         path = tmp_path / "there"
