--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import contextlib
+import os
+import signal
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from mulleinhall.health import Health
 from mulleinhall.interface import (
     Action,
@@ -26,6 +31,7 @@
     Settings,
 )
 from mulleinhall.logic import Gateway, Server
+from tests.peers import STARTED
 
 SAFE = RequestClass("read", aim=1.0, deadline=4.0)
 KEYED = RequestClass("order", aim=1.0, deadline=4.0, semantics=Semantics.KEYED, window=3.0)
@@ -36,6 +42,16 @@
 FLEET = tuple(Backend(f"b{n}", zone="ab"[n % 2], cell=n // 2) for n in range(4))
 
 
+@pytest.fixture(autouse=True)
+def nothing_left_running() -> Iterator[None]:
+    yield
+    while STARTED:
+        child = STARTED.pop()
+        if child.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(child.pid, signal.SIGKILL)
+
+
 class Play:
     """A gateway under test, with a clock and what it has done so far."""
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -28,6 +28,9 @@
         await asyncio.sleep(0.002)
 
 
+STARTED: list[asyncio.subprocess.Process] = []  # ended after each test, whatever it says
+
+
 class Peer:
     """A server; `script` plays each of its connections, given the connection's number."""
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -31,6 +31,7 @@
 from mulleinhall.registry.server import Listener
 from mulleinhall.registry.service import Service
 from mulleinhall.registry.store import CannotOpen, Store
+from tests.peers import STARTED
 
 ROOT = Path(__file__).resolve().parent.parent
 TOKEN = "open sesame"
@@ -625,6 +626,7 @@
             sys.executable, "-m", "mulleinhall.registry", "--listen", "127.0.0.1:0", "--data",
             str(tmp_path / "data"), "--token-file", str(tmp_path / "token"), cwd=ROOT,
             stderr=asyncio.subprocess.PIPE)
+        STARTED.append(child)
         assert child.stderr is not None
         while b" on " not in (line := await child.stderr.readline()):
             assert line, "it has ended"
@@ -653,6 +655,7 @@
             sys.executable, "-m", "mulleinhall.registry", "--listen", "127.0.0.1:0", "--data",
             str(tmp_path / "data"), "--token-file", str(tmp_path / "token"), cwd=ROOT,
             stderr=asyncio.subprocess.PIPE)
+        STARTED.append(child)
         assert child.stderr is not None
         while b" on " not in (line := await child.stderr.readline()):
             assert line, "it has ended"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,7 +19,7 @@
 from mulleinhall.registry import relay as relay_module
 from mulleinhall.registry.relay import Kept, Relay
 from mulleinhall.registry.server import Listener
-from tests.peers import Caller, Peer, Reader, Writer, command, config, read_command, value
+from tests.peers import STARTED, Caller, Peer, Reader, Writer, command, config, read_command, value
 from tests.test_net_control import SECOND
 from tests.test_net_figures import figures
 from tests.test_net_ingress import serving as ingress
@@ -185,6 +185,7 @@
 async def start(*words: str) -> asyncio.subprocess.Process:
     child = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "mulleinhall.registry", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+    STARTED.append(child)
     assert child.stderr is not None
     while b" on " not in (line := await child.stderr.readline()):
         assert line, "it has ended"
