--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -4,19 +4,17 @@
 
 import asyncio
 import contextlib
-import logging
 import os
 import signal
 import sys
 
 import uvloop
 
+from mulleinhall.net import logs
 from mulleinhall.net.config import BadConfig, Config, load_config
 from mulleinhall.net.handover import CannotTakeOver, Taken, socket_path, take_over
 from mulleinhall.net.ingress import Ingress
 
-log = logging.getLogger(__name__)
-
 
 async def follow(path: str, ingress: Ingress, reload: asyncio.Event) -> None:
     """Reads the configuration anew each time that `reload` is set; one that can't be used changes nothing."""
@@ -65,7 +63,11 @@
         case [_, *_]:
             print("usage: python -m mulleinhall [check FILE]", file=sys.stderr)
             return 2
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        logs.configure(os.environ.get("EDGE_LOG", ""))
+    except ValueError as error:
+        print(f"mulleinhall: {error}", file=sys.stderr)
+        return 2
     path, early = os.environ.get("EDGE_CONFIG", ""), list[int]()
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))  # its default would end the process
     try:
--- /dev/null
+++ b/mulleinhall/emulator/cli.py
@@ -0,0 +1,300 @@
+"""`mothdrift`: runs an ingress, checks files, plays a fleet, loads an ingress, compares versions, writes reports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import structlog
+from rich.console import Console
+from rich.progress import (
+    BarColumn,
+    MofNCompleteColumn,
+    Progress,
+    TextColumn,
+    TimeElapsedColumn,
+    TimeRemainingColumn,
+)
+from rich.table import Table
+
+from mulleinhall.emulator.compare import FIGURES, compare, figures
+from mulleinhall.emulator.experiment import BadExperiment, Experiment, load_experiment
+from mulleinhall.emulator.results import BadResults, Results
+from mulleinhall.emulator.runner import Runner, Task
+from mulleinhall.emulator.shrink import shrink, to_toml
+from mulleinhall.emulator.versions import NoSuchVersion
+
+BROKEN, BAD_INPUT, FAILED, INTERRUPTED = 1, 2, 3, 130
+FOUND = Path("found")
+
+out, err = Console(), Console(stderr=True)
+log = structlog.get_logger()
+
+EPILOG = """Status: 0 all is well, 1 a rule was broken, 2 the input is bad, 3 a play failed, 130 interrupted (what was
+measured is kept)."""
+
+
+def stop(status: int, *lines: str) -> NoReturn:
+    for line in lines:
+        err.print(line, markup=False, highlight=False, soft_wrap=True)
+    sys.exit(status)
+
+
+def read(path: Path) -> Experiment:
+    try:
+        return load_experiment(path)
+    except BadExperiment as error:
+        stop(BAD_INPUT, *error.faults)
+
+
+def _logging(as_json: bool) -> None:
+    """What is told goes to standard error: as lines for people, or as JSON."""
+    last: Any = structlog.processors.JSONRenderer() if as_json else structlog.dev.ConsoleRenderer()
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), last],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+
+
+@click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--log-json", is_flag=True, help="Tell what happens as JSON lines on standard error.")
+def main(log_json: bool) -> None:
+    """Runs the ingress, and plays fleets of it through failure.
+
+    \b
+    A first look:
+      mothdrift check experiments/zone.toml       is the file right?
+      mothdrift emulate experiments/zone.toml     one play in simulated time
+      mothdrift experiment experiments/zone.toml  all seeds and versions, with a report
+    """
+    _logging(log_json)
+
+
+@main.command()
+@click.argument("config", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+def run(config: Path) -> None:
+    """Runs one ingress on CONFIG, a JSON file as the platform writes it.
+
+    The process becomes the ingress: SIGHUP reloads the file, SIGTERM drains and ends it.
+    """
+    os.execve(sys.executable, [sys.executable, "-m", "mulleinhall"], os.environ | {"EDGE_CONFIG": str(config)})
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+def check(file: Path) -> None:
+    """Checks FILE: an ingress's configuration (.json) or an experiment (.toml).  Names every fault with its key."""
+    if file.suffix == ".json":
+        from mulleinhall.net.config import BadConfig, load_config
+
+        try:
+            for key in load_config(str(file)).unknown:
+                click.echo(f"{key}: unknown, ignored")
+        except BadConfig as error:
+            stop(BAD_INPUT, *error.faults)
+        return
+    experiment = read(file)
+    where = "real sockets" if experiment.sockets else "simulated time"
+    click.echo(f"{experiment.name}: {len(experiment.seeds)} seed(s), {len(experiment.versions)} version(s), "
+               f"{experiment.seconds:g} s of {where}, {len(experiment.faults)} fault(s)")
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--seed", type=int, help="Of this play; without it the experiment's first.")
+@click.option("--json", "as_json", is_flag=True, help="Print the whole result as JSON.")
+@click.option("--shrink", "smaller", type=click.Path(path_type=Path, dir_okay=False),
+              help="Where a rule breaks: write the smallest experiment found that still breaks it here.")
+def emulate(file: Path, seed: int | None, as_json: bool, smaller: Path | None) -> None:
+    """Plays FILE once in simulated time, with the decisions of this work tree.
+
+    The same seed gives the same play, to the last event.
+    """
+    from mulleinhall.emulator.world import World
+
+    experiment = read(file)
+    if experiment.sockets:
+        stop(BAD_INPUT, f"{file}: sockets = true: play it with `mothdrift experiment`")
+    seed = experiment.seeds[0] if seed is None else seed
+    world = World(experiment, seed)
+    signal.signal(signal.SIGINT, lambda number, frame: world.interrupt())
+    result = world.play()
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    if as_json:
+        click.echo(json.dumps(result))
+    else:
+        _show({f"seed {seed}": figures(result, _first(experiment))})
+        _show_rules(Counter(result["exact"]["broken"]))
+    if not result["exact"]["whole"]:
+        sys.exit(INTERRUPTED)
+    if result["exact"]["broken"]:
+        if smaller is not None:
+            rule = max(result["exact"]["broken"], key=result["exact"]["broken"].get)
+            log.info("shrinks", rule=rule)
+            found = shrink(experiment, rule, lambda one: dict(World(one, seed).play()["exact"]["broken"]),
+                           told=lambda text: log.info("smaller", by=text))
+            smaller.write_text(to_toml(found.model_copy(update={"seeds": [seed]})), encoding="utf-8")
+            click.echo(f"the smallest found: {smaller}")
+        sys.exit(BROKEN)
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--to", "folder", type=click.Path(path_type=Path, file_okay=False),
+              help="Folder of the results; without it one below found/, named after the experiment.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=max(1, (os.cpu_count() or 2) // 2), show_default=True,
+              help="Plays at once.  On real sockets one at a time is truest.")
+@click.option("--quiet", is_flag=True, help="No progress bar.")
+def experiment(file: Path, folder: Path | None, jobs: int, quiet: bool) -> None:
+    """Plays every seed and version of FILE, and writes a report.
+
+    Each play is kept as soon as it ends.  After an interruption the same command goes on where it stopped.
+    """
+    spec = read(file)
+    folder = folder or FOUND / f"{''.join(c if c.isalnum() else '-' for c in spec.name)}-{spec.digest()}"
+    try:
+        results = Results(folder, spec)
+        with tempfile.TemporaryDirectory() as trees:
+            status = asyncio.run(_plays(spec, results, Path(trees), jobs, quiet))
+    except (BadResults, NoSuchVersion, OSError) as error:
+        stop(BAD_INPUT, str(error))
+    if results.rows:
+        status = max(status, _summary(spec, results))
+        click.echo(f"report: {_report(folder)}")
+    sys.exit(status)
+
+
+async def _plays(spec: Experiment, results: Results, trees: Path, jobs: int, quiet: bool) -> int:
+    bar = Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(),
+                   TimeRemainingColumn(), console=err, disable=quiet)
+
+    def told(task: Task, result: dict[str, Any] | None) -> None:
+        bar.advance(row)
+        if result is None:
+            log.error("failed", version=task.version, seed=task.seed, why=runner.failures[-1])
+        elif result["exact"]["broken"]:
+            log.warning("broken", version=task.version, seed=task.seed, rules=result["exact"]["broken"])
+
+    runner = Runner(spec, results, jobs, told)
+    tasks = runner.tasks(trees)
+    with bar:
+        row = bar.add_task(spec.name, total=len(tasks))
+        await runner.run(tasks)
+    return INTERRUPTED if runner.stopping else FAILED if runner.failures else 0
+
+
+def _summary(spec: Experiment, results: Results) -> int:
+    """Prints figures and differences; the status that broken rules ask for."""
+    measured: dict[str, dict[int, dict[str, float]]] = {version.name: {} for version in spec.versions}
+    broken: Counter[str] = Counter()
+    for row in results.rows:
+        measured[row["version"]][row["seed"]] = figures(row["result"], _first(spec))
+        broken.update(row["result"]["exact"]["broken"])
+    measured = {name: plays for name, plays in measured.items() if plays}
+    _show({f"{name} ({len(plays)})": {key: sum(one[key] for one in plays.values()) / len(plays) for key in FIGURES}
+           for name, plays in measured.items()})
+    base, *others = measured
+    for name in others:
+        table = Table("figure", base, name, "difference", "95% of resamples", "better on",
+                      title=f"{name} beside {base}, paired by seed")
+        for one in compare(measured[base], measured[name]):
+            table.add_row(one.figure, f"{one.before:.4g}", f"{one.after:.4g}", f"{one.after - one.before:+.4g}",
+                          f"{one.low:+.4g} to {one.high:+.4g}" if one.pairs > 1 else "one pair",
+                          f"{one.better} of {one.pairs}")
+        out.print(table)
+    _show_rules(broken)
+    return BROKEN if broken else 0
+
+
+def _show(columns: dict[str, dict[str, float]]) -> None:
+    table = Table("figure", *columns, "meaning")
+    for key, (meaning, _) in FIGURES.items():
+        table.add_row(key, *(f"{column[key]:.4g}" for column in columns.values()), meaning)
+    out.print(table)
+
+
+def _show_rules(broken: Counter[str]) -> None:
+    for rule, count in sorted(broken.items()):
+        click.echo(f"broken: {rule}, {count} times")
+
+
+def _first(spec: Experiment) -> float:
+    return min((fault.at for fault in spec.faults), default=0.0)
+
+
+def _report(folder: Path) -> Path:
+    from mulleinhall.emulator.report import make_report
+
+    return make_report(folder)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--follow", metavar="ID", help="Follow one request through clients, ingresses and servers instead.")
+def report(folder: Path, follow: str | None) -> None:
+    """Writes the report of the results in FOLDER: one page, and its plots beside it."""
+    if follow is not None:
+        from mulleinhall.emulator.follow import follow as lines
+
+        found = list(lines(folder, follow))
+        if not found:
+            stop(BAD_INPUT, f"no line of {folder} tells of {follow}")
+        for line in found:
+            click.echo(line)
+        return
+    try:
+        click.echo(f"report: {_report(folder)}")
+    except (BadResults, BadExperiment) as error:
+        stop(BAD_INPUT, str(error))
+
+
+@main.command()
+@click.argument("config", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--rate", type=click.FloatRange(0.1, 100_000), default=50.0, show_default=True,
+              help="First tries a second; they come at their times whatever is answered.")
+@click.option("--seconds", type=click.FloatRange(0.1, 3600), default=10.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--retries", type=click.IntRange(0, 20), default=0, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the whole result as JSON.")
+def load(config: Path, rate: float, seconds: float, seed: int, retries: int, as_json: bool) -> None:
+    """Sends an open load to the running ingress that CONFIG belongs to.
+
+    Classes, plans and the address are those of the file.  Latency counts from the time at which a request was
+    meant to be sent, so that an ingress which stalls can't hide it.
+    """
+    from mulleinhall.emulator.live.load import BadTarget, send_load
+
+    try:
+        result = send_load(config, rate, seconds, seed, retries)
+    except BadTarget as error:
+        stop(BAD_INPUT, *error.faults)
+    if as_json:
+        click.echo(json.dumps(result))
+    else:
+        _show_load(result)
+    if not result["exact"]["whole"]:
+        sys.exit(INTERRUPTED)
+    if result["exact"]["broken"]:
+        sys.exit(BROKEN)
+
+
+def _show_load(result: dict[str, Any]) -> None:
+    totals = result["exact"]["totals"]
+    table = Table("what", "count")
+    for key in sorted(totals):
+        table.add_row(key, f"{totals[key]:g}")
+    for key, value in result["exact"]["latency_ms"].get("request", {}).items():
+        table.add_row(f"latency {key}", f"{value:g} ms")
+    for key, value in result["late_ms"].items():
+        table.add_row(f"sent late by, {key}", f"{value:g} ms")
+    out.print(table)
+    _show_rules(Counter(result["exact"]["broken"]))
--- /dev/null
+++ b/mulleinhall/emulator/gateways.py
@@ -0,0 +1,451 @@
+"""A gateway in simulated time: feeds the real decision module, carries out what it says, owes the clients."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from mulleinhall import interface as api
+from mulleinhall.emulator.experiment import Fleet, Rules
+from mulleinhall.emulator.kernel import Clock
+from mulleinhall.emulator.measure import Recorder
+from mulleinhall.emulator.network import NetworkModel
+from mulleinhall.emulator.rules import Record, leaves
+from mulleinhall.emulator.rules import Rules as Checker
+from mulleinhall.emulator.servers import ServerModel
+
+MARGIN = 0.020  # s before the client's time is up: when the module's time is up, as in the real ingress
+IDLE_SHARE = 0.6  # of the time after which a server closes an idle connection: ours goes before
+SWEEP = 2.0  # s between looks for idle connections
+PROBE_WORK = 0.0003  # s on a core
+
+
+class Decisions(Protocol):
+    """What the emulator needs of `mulleinhall.logic.Gateway`."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
+Make = Callable[[api.Settings, int], Decisions]
+
+
+class Front(Protocol):
+    """Who hears how a try ended."""
+
+    def answered(self, held: Held) -> None: ...
+
+    def refused(self, held: Held, wait: float, reason: str) -> None: ...
+
+    def failed(self, held: Held, reason: str) -> None: ...
+
+    def cut_off(self, held: Held) -> None: ...
+
+    def spent(self, held: Held) -> None: ...
+
+
+class Taker(Protocol):
+    """A gateway, as the front and the clients see it."""
+
+    life: int
+    up: bool
+
+    def take(self, held: Held, event: api.Request) -> None: ...
+
+    def leave(self, held: Held) -> None: ...
+
+
+class Held:
+    """A try that a gateway has taken."""
+
+    __slots__ = ("answered", "gateway", "left", "out", "record", "tries", "wish", "work")
+
+    def __init__(self, gateway: Taker, record: Record, work: float, wish: object) -> None:
+        self.gateway, self.record, self.work, self.wish = gateway, record, work, wish
+        self.answered, self.left, self.tries = False, False, 0
+        self.out: dict[int, Attempt] = {}
+
+
+class Attempt:
+    """One attempt, seen by its gateway and its server."""
+
+    __slots__ = ("dropped", "ended", "epoch", "expires", "held", "host", "life", "number", "sent", "server",
+                 "work", "written")
+
+    def __init__(self, host: GatewayHost, held: Held, number: int, server: ServerModel, sent: float,
+                 expires: float) -> None:
+        self.host, self.held, self.number, self.server = host, held, number, server
+        self.sent, self.expires = sent, expires
+        self.life, self.epoch, self.work = host.life, server.epoch, held.work
+        self.dropped, self.ended, self.written = False, False, False
+
+    def answered(self, outcome: api.Outcome) -> None:
+        """The server answers; the network brings it, or not."""
+        self.host.on_the_way(self, outcome)
+
+
+class GatewayHost:
+    """One gateway of the fleet.  `life` counts its starts."""
+
+    def __init__(self, kernel: Clock, fleet: Fleet, network: NetworkModel, servers: dict[str, ServerModel],
+                 rules: Checker, spec: Rules, record: Recorder, number: int, make: Make) -> None:
+        self.kernel, self.fleet, self.network, self.servers = kernel, fleet, network, servers
+        self.rules, self.spec, self.record, self.number, self.make = rules, spec, record, number, make
+        self.zone = number % fleet.zones
+        self.front: Front
+        self.fell: Callable[[ServerModel], None]  # a cold server was pushed over
+        self.life, self.up, self.paused, self.welcome = 0, False, False, True
+        self.module: Decisions | None = None
+        self.held: dict[str, Held] = {}
+        self.idle: dict[str, list[tuple[float, int]]] = {}  # connections: idle since, epoch of their server
+        self.known: dict[str, api.Backend] = {}
+        self.leaving: dict[str, float] = {}  # when it was told that a server leaves
+        self.starts: dict[str, float] = {}  # the latest start of each server that it was told
+        self.events: deque[api.Event] = deque()
+        self.backlog: list[tuple[Callable[..., None], tuple[object, ...]]] = []
+        self.running = False
+        self.waiting: dict[str, dict[Attempt, None]] = {}  # attempts out, by server
+
+    # Life
+
+    def start(self, settings: api.Settings, seed: int) -> None:
+        self.life += 1
+        self.up, self.paused, self.welcome = True, False, True
+        self.module = self.make(settings, seed)
+        self.feed(api.BackendsChanged(api.ListKind.RESTORED, tuple(self.known.values())))
+        self.kernel.after(SWEEP, self._sweep, self.life)
+
+    def kill(self) -> None:
+        """Dies at once: connections to servers end, clients see theirs reset."""
+        self.life += 1
+        self.up, self.module, self.running = False, None, False
+        self.events.clear()
+        self.backlog.clear()
+        for name, kept in self.idle.items():
+            self._closed(self.servers[name], sum(epoch == self.servers[name].epoch for _, epoch in kept))
+        self.idle.clear()
+        for attempts in self.waiting.values():
+            for attempt in attempts:
+                attempt.ended = attempt.dropped = True
+                if attempt.written and attempt.epoch == attempt.server.epoch:
+                    self._closed(attempt.server, 1)
+        self.waiting.clear()
+        held, self.held = self.held, {}
+        for one in held.values():
+            one.record.ended = True
+            if not one.answered:
+                one.answered, one.record.excused = True, True
+                self.front.cut_off(one)
+
+    def pause(self) -> None:
+        self.paused = True
+        for one in self.held.values():
+            one.record.excused = True
+
+    def resume(self) -> None:
+        self.paused = False
+        backlog, self.backlog = self.backlog, []
+        for call, args in backlog:
+            call(*args)
+
+    def _later(self, call: Callable[..., None], *args: object) -> bool:
+        """Whether the process is stopped, so that this waits."""
+        if self.paused:
+            self.backlog.append((call, args))
+        return self.paused
+
+    # What reaches it
+
+    def listed(self, event: api.BackendsChanged) -> None:
+        if not self.up or self._later(self.listed, event):
+            return
+        now = self.kernel.now
+        named = {entry.id for entry in event.backends}
+        if event.kind is api.ListKind.REPLACE:
+            for name in [name for name in self.known if name not in named]:
+                del self.known[name]
+                self.leaving.setdefault(name, now)
+        for entry in event.backends:
+            if leaves(entry):
+                self.leaving.setdefault(entry.id, now)
+            else:
+                self.leaving.pop(entry.id, None)
+            if entry.readiness is api.Readiness.GONE:
+                self.known.pop(entry.id, None)
+            else:
+                self.known[entry.id] = entry
+            self.starts[entry.id] = entry.started
+        self.feed(event)
+
+    def take(self, held: Held, event: api.Request) -> None:
+        """A client's try is here whole."""
+        if self._later(self.take, held, event):
+            held.record.excused = True
+            return
+        if not self.up or held.left:
+            return
+        self.held[held.record.id] = held
+        self.kernel.at(held.record.deadline + self.spec.answer_slack_s, self._due, held)
+        self.feed(event)
+
+    def leave(self, held: Held) -> None:
+        """Its client goes."""
+        held.left = True
+        if self._later(self.leave, held) or not self.up or held.answered:
+            return
+        held.answered, held.record.excused = True, True
+        held.record.ended = True
+        self.feed(api.Abandoned(held.record.id))
+        self.held.pop(held.record.id, None)
+
+    def states(self) -> dict[str, int]:
+        """How many servers it holds to be in which state; none of a module that does not tell."""
+        health: dict[str, int] = getattr(self.module, "health", dict)()
+        return {key: count for key, count in health.items() if key.startswith("health.")}
+
+    def _due(self, held: Held) -> None:
+        if self.up:
+            self.rules.due(self.kernel.now, held.record)
+
+    # The module
+
+    def feed(self, event: api.Event) -> None:
+        """Hands an event to the module; one that comes up meanwhile waits for its turn."""
+        self.events.append(event)
+        if self.running:
+            return
+        self.running = True
+        while self.events and self.module is not None:
+            for action in list(self.module.handle(self.kernel.now, self.events.popleft())):
+                self._do(action)
+        self.running = False
+
+    def _timer(self, life: int, token: int) -> None:
+        if life == self.life and not self._later(self._timer, life, token):
+            self.feed(api.Timer(token))
+
+    def _do(self, action: api.Action) -> None:
+        now = self.kernel.now
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse(id=key) | api.Fail(id=key):
+                held = self.held.pop(key, None)
+                if held is not None:
+                    held.record.ended = True
+                    self._final(held, action)
+            case api.SetTimer(delay=delay, token=token):
+                self.kernel.after(max(0.0, delay), self._timer, self.life, token)
+            case api.Cancel(id=key, attempt=number):
+                held = self.held.get(key)
+                attempt = held.out.get(number) if held is not None else self._out(key, number)
+                if attempt is not None:
+                    self._give_up(attempt, api.Outcome.CANCELLED)
+            case api.Probe(backend=name, timeout=timeout):
+                self._probe(self.servers[name], timeout)
+            case api.CloseIdle(backend=name):
+                self._drop_idle(name)
+            case api.Welcome(on=on):
+                self.welcome = on
+            case _:
+                self.record.count(now, f"action.{type(action).__name__}")
+
+    def _out(self, key: str, number: int) -> Attempt | None:
+        return next((attempt for attempts in self.waiting.values() for attempt in attempts
+                     if attempt.held.record.id == key and attempt.number == number), None)
+
+    def _final(self, held: Held, action: api.Refuse | api.Fail) -> None:
+        if held.answered:
+            return
+        held.answered = True
+        reason = getattr(action, "reason", "") or ("attempt" if held.tries else "unknown")
+        if isinstance(action, api.Refuse):
+            self.rules.refuse(self.kernel.now, held.record)
+            self.rules.answer(self.kernel.now, held.record, "refused")
+            self.front.refused(held, action.retry_after, reason)
+        else:
+            self.rules.answer(self.kernel.now, held.record, "failed")
+            self.front.failed(held, reason)
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        now, held = self.kernel.now, self.held.get(action.id)
+        if held is None:
+            self.rules.broken("nothing after the end", now, f"request {action.id} is not held and went to "
+                              f"{action.backend}")
+            self.events.append(api.AttemptEnded(action.id, 0, action.backend, api.Outcome.MOOT,
+                                                finished=True))
+            return
+        number, held.tries = held.tries, held.tries + 1
+        server = self.servers[action.backend]
+        if held.answered or number >= self.fleet.max_attempts:
+            self.events.append(api.AttemptEnded(action.id, number, action.backend, api.Outcome.MOOT,
+                                                finished=held.answered))
+            return
+        self.rules.send(now, held.record, server.id, server.zone, server.cell)
+        self.rules.draining(now, self.number, server.id, self.leaving.get(server.id))
+        self.record.count(now, "attempts")
+        wait = min(action.timeout or held.record.deadline - now, held.record.deadline - now)
+        attempt = Attempt(self, held, number, server, now, now + max(wait, 0.0))
+        held.out[number] = attempt
+        self.waiting.setdefault(server.id, {})[attempt] = None
+        self.kernel.at(attempt.expires, self._overdue, attempt)
+        kept = self.idle.get(server.id, [])
+        while kept:
+            _, epoch = kept.pop()
+            if epoch == server.epoch or not server.machine:
+                self._depart(attempt)  # a machine that vanished leaves connections open and silent
+                return
+        self._connect(attempt)
+
+    def _connect(self, attempt: Attempt) -> None:
+        server, limit = attempt.server, self.fleet.connect_timeout_ms / 1000
+        if not server.machine or not self.network.passes(self.zone, server.zone):
+            self.kernel.after(limit, self._outcome, attempt, api.Outcome.CONNECT_FAILED)
+            return
+        turn = 2 * self.network.delay(self.zone, server.zone)
+        self.record.count(self.kernel.now, "handshakes")
+        if not server.accepts():
+            self.kernel.after(turn, self._outcome, attempt, api.Outcome.CONNECT_FAILED)
+            return
+        server.connections += 1
+        took = server.shake_hands() + self.fleet.handshake_rtts * turn
+        if took > limit:
+            self._closed(server, 1)
+            self.kernel.after(limit, self._outcome, attempt, api.Outcome.CONNECT_FAILED)
+        else:
+            self.kernel.after(took, self._connected, attempt)
+
+    def _connected(self, attempt: Attempt) -> None:
+        if attempt.life != self.life or attempt.epoch != attempt.server.epoch:
+            if attempt.epoch == attempt.server.epoch:
+                self._closed(attempt.server, 1)
+            self._outcome(attempt, api.Outcome.CONNECT_FAILED)
+        elif attempt.ended:
+            self.idle.setdefault(attempt.server.id, []).append((self.kernel.now, attempt.epoch))
+        else:
+            self._depart(attempt)
+
+    def _depart(self, attempt: Attempt) -> None:
+        attempt.written = True
+        server = attempt.server
+        self.kernel.after(self.network.delay(self.zone, server.zone), self._reach, attempt)
+
+    def _reach(self, attempt: Attempt) -> None:
+        """The attempt's last byte arrives, unless the network or the server is gone."""
+        server, now = attempt.server, self.kernel.now
+        if not server.machine or not self.network.passes(self.zone, server.zone):
+            return
+        if not server.running or attempt.epoch != server.epoch or self.network.resets():
+            self.kernel.after(self.network.delay(self.zone, server.zone), self._outcome, attempt,
+                              api.Outcome.RESET)
+            return
+        if attempt.number == 0:
+            self.rules.spend(now, attempt.held.record)
+            self.front.spent(attempt.held)
+        knew = self.starts.get(server.id, 0.0) >= server.started
+        if self.rules.reached(now, server.id, attempt.work, knew, server.capacity(), server.cold()):
+            self.record.count(now, "servers that fell over")
+            self.fell(server)
+            return
+        server.arrive(attempt)
+
+    def on_the_way(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        server = attempt.server
+        if self.network.passes(self.zone, server.zone) and not self.network.loses():
+            self.kernel.after(self.network.delay(self.zone, server.zone), self._outcome, attempt, outcome)
+
+    def _outcome(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if attempt.ended or attempt.life != self.life or self._later(self._outcome, attempt, outcome):
+            return
+        now, held, server = self.kernel.now, attempt.held, attempt.server
+        self._finish(attempt)
+        whole = outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL)
+        if attempt.written and attempt.epoch == server.epoch:
+            if whole:
+                self.idle.setdefault(server.id, []).append((now, attempt.epoch))
+            else:
+                self._closed(server, 1)
+        self.rules.ended(held.record, attempt.number, outcome)
+        self.record.count(now, f"outcome.{outcome.value}")
+        if outcome is api.Outcome.OK:
+            self.record.took(now, "cold server" if server.cold() else "warm server", now - attempt.sent)
+            if not held.answered:
+                held.answered = True
+                self.rules.answer(now, held.record, "served")
+                self.front.answered(held)
+        self._told(attempt, outcome)
+
+    def _told(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        held = attempt.held
+        self.feed(api.AttemptEnded(held.record.id, attempt.number, attempt.server.id, outcome,
+                                   self.kernel.now - attempt.sent, held.answered))
+        if held.answered:
+            held.record.ended = True
+            self.held.pop(held.record.id, None)
+
+    def _overdue(self, attempt: Attempt) -> None:
+        if not attempt.ended and attempt.life == self.life and not self._later(self._overdue, attempt):
+            self._give_up(attempt, api.Outcome.TIMEOUT if attempt.written else api.Outcome.CONNECT_FAILED)
+
+    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if attempt.ended:
+            return
+        attempt.dropped = True
+        self._finish(attempt)
+        if attempt.written and attempt.epoch == attempt.server.epoch:
+            self._closed(attempt.server, 1)  # to give an attempt up is to close its connection
+        self.rules.ended(attempt.held.record, attempt.number, outcome)
+        self.record.count(self.kernel.now, f"outcome.{outcome.value}")
+        self._told(attempt, outcome)
+
+    def _finish(self, attempt: Attempt) -> None:
+        attempt.ended = True
+        attempt.held.out.pop(attempt.number, None)
+        self.waiting.get(attempt.server.id, {}).pop(attempt, None)
+
+    # Connections
+
+    def server_lost(self, name: str) -> None:
+        """The server's process is gone and its machine says so: what is out there is reset."""
+        self._drop_idle(name)
+        for attempt in list(self.waiting.get(name, ())):
+            if attempt.written:
+                self._outcome(attempt, api.Outcome.RESET)
+
+    def _drop_idle(self, name: str) -> None:
+        server = self.servers[name]
+        self._closed(server, sum(epoch == server.epoch for _, epoch in self.idle.pop(name, ())))
+
+    @staticmethod
+    def _closed(server: ServerModel, count: int) -> None:
+        server.connections = max(0, server.connections - count)
+
+    def _sweep(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.kernel.after(SWEEP, self._sweep, life)
+        limit = self.kernel.now - IDLE_SHARE * self.fleet.idle_s
+        for name, kept in self.idle.items():
+            server = self.servers[name]
+            fresh = [one for one in kept if one[0] >= limit]
+            self._closed(server, sum(epoch == server.epoch for _, epoch in kept[:len(kept) - len(fresh)]))
+            kept[:] = fresh
+
+    def _probe(self, server: ServerModel, timeout: float) -> None:
+        self.record.count(self.kernel.now, "probes")
+        silent = server.spoilt is not None and server.spoilt.mode == "silent"
+        if not server.machine or silent or not self.network.passes(self.zone, server.zone):
+            self.kernel.after(timeout, self._probed, self.life, server.id, api.Outcome.TIMEOUT, timeout)
+            return
+        turn = 2 * self.network.delay(self.zone, server.zone)
+        well = server.accepts() and not server.draining
+        if well:
+            server.debt += PROBE_WORK
+        outcome = api.Outcome.OK if well else api.Outcome.CONNECT_FAILED
+        self.kernel.after(turn, self._probed, self.life, server.id, outcome, turn)
+
+    def _probed(self, life: int, name: str, outcome: api.Outcome, took: float) -> None:
+        if life == self.life and not self._later(self._probed, life, name, outcome, took):
+            self.feed(api.ProbeEnded(name, outcome, took))
--- /dev/null
+++ b/mulleinhall/emulator/listing.py
@@ -0,0 +1,56 @@
+"""Discovery in simulated time: the list, which knows late, and gateways that hear of it later still."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from mulleinhall.emulator.experiment import Listing
+from mulleinhall.emulator.kernel import Clock, Draws
+from mulleinhall.interface import Backend, BackendsChanged, ListKind, Readiness
+
+
+class Listener(Protocol):
+    def listed(self, event: BackendsChanged) -> None: ...
+
+
+class Board:
+    """What discovery has published, and the way to each gateway."""
+
+    def __init__(self, kernel: Clock, spec: Listing, draws: Draws, entries: Iterable[Backend]) -> None:
+        self.kernel, self.spec, self.draws = kernel, spec, draws
+        self.entries = {entry.id: entry for entry in entries}
+        self.version, self.down_until = 1, 0.0
+        self.listeners: list[Listener] = []
+        self._told: dict[int, float] = {}  # when the last change reaches each: changes come in order
+
+    def learn(self, delay: tuple[float, float], entries: tuple[Backend, ...]) -> None:
+        """It will know of `entries` after a delay from that range (s)."""
+        self.kernel.after(self.draws.uniform(*delay), self._publish, entries)
+
+    def _publish(self, entries: tuple[Backend, ...]) -> None:
+        if self.kernel.now < self.down_until:
+            self.kernel.at(self.down_until, self._publish, entries)
+            return
+        self.version += 1
+        for entry in entries:
+            if entry.readiness is Readiness.GONE:
+                self.entries.pop(entry.id, None)
+            else:
+                self.entries[entry.id] = entry
+        for number, listener in enumerate(self.listeners):
+            self._tell(number, listener, BackendsChanged(ListKind.UPDATE, entries, self.version))
+
+    def ask(self, number: int, listener: Listener) -> None:
+        """A gateway that has started asks for the whole list."""
+        if self.kernel.now < self.down_until:
+            self.kernel.at(self.down_until, self.ask, number, listener)
+            return
+        self._tell(number, listener, BackendsChanged(
+            ListKind.REPLACE, tuple(self.entries.values()), self.version))
+
+    def _tell(self, number: int, listener: Listener, event: BackendsChanged) -> None:
+        when = max(self._told.get(number, 0.0),
+                   self.kernel.now + self.draws.uniform(0.0, self.spec.spread_ms / 1000))
+        self._told[number] = when
+        self.kernel.at(when, listener.listed, event)
--- /dev/null
+++ b/mulleinhall/emulator/live/agent.py
@@ -0,0 +1,162 @@
+"""A stand-in for discovery: the agent on an ingress's machine, which answers with what was sent to it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import cast
+from urllib.parse import parse_qs, urlsplit
+
+import httptools
+
+from mulleinhall.interface import Backend, BackendsChanged, ListKind, Readiness
+
+PATH = "/api/targets"
+MOST_WAIT = 60.0  # s
+
+Address = tuple[str, int]
+
+
+def row(entry: Backend, address: Address) -> dict[str, object]:
+    """An entry in discovery's form; `started` counts as Unix time already."""
+    return {"id": entry.id, "addr": f"{address[0]}:{address[1]}", "zone": entry.zone, "kind": entry.kind,
+            "cell": entry.cell, "state": entry.readiness.value, "weight": entry.weight,
+            "started_ms": round(entry.started * 1000)}
+
+
+class Agent:
+    """`address_of` and `unix` put an entry in discovery's words; `written` hears what an answer told."""
+
+    def __init__(self, address_of: Callable[[str], Address], unix: Callable[[Backend], Backend],
+                 written: Callable[[list[Backend], bool], None]) -> None:
+        self.address_of, self.unix, self.written = address_of, unix, written
+        self.version, self.silent = 1, False
+        self.entries: dict[str, Backend] = {}
+        self.changes: list[tuple[int, Backend]] = []
+        self.waiting: set[Watch] = set()
+        self.listener: asyncio.Server | None = None
+        self.address: Address = ("", 0)
+
+    async def open(self) -> None:
+        self.listener = await asyncio.get_running_loop().create_server(lambda: Watch(self), "127.0.0.1", 0)
+        self.address = self.listener.sockets[0].getsockname()
+
+    def learn(self, event: BackendsChanged) -> None:
+        """Discovery has sent this to the agent."""
+        self.version = max(self.version + 1, event.version)
+        if event.kind is ListKind.REPLACE:
+            self.entries = {entry.id: entry for entry in event.backends}
+            self.changes.clear()
+        else:
+            for entry in event.backends:
+                self.changes.append((self.version, entry))
+                if entry.readiness is Readiness.GONE:
+                    self.entries.pop(entry.id, None)
+                else:
+                    self.entries[entry.id] = entry
+        self.wake()
+
+    def wake(self) -> None:
+        for watch in list(self.waiting):
+            watch.look()
+
+    def known(self) -> dict[str, object]:
+        return {"version": self.version, "full": True, "servers": [
+            row(self.unix(entry), self.address_of(entry.id)) for entry in self.entries.values()]}
+
+    def answer(self, after: int | None) -> dict[str, object]:
+        """The whole list, or what changed since `after`."""
+        oldest = self.changes[0][0] if self.changes else self.version + 1
+        if after is None or after > self.version or (after < self.version and after + 1 < oldest):
+            self.written(list(self.entries.values()), True)
+            return self.known()
+        news: dict[str, Backend] = {}
+        for version, entry in self.changes:
+            if version > after:
+                news[entry.id] = entry
+        self.written(list(news.values()), False)
+        return {"version": self.version, "full": False, "servers": [
+            row(self.unix(entry), self.address_of(entry.id)) for entry in news.values()]}
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        for watch in list(self.waiting):
+            watch.end()
+
+
+class Watch(asyncio.Protocol):
+    """One connection; one call at a time."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent, self.url = agent, b""
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.asked: tuple[int | None, asyncio.TimerHandle | None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._say(400, {"error": "not HTTP"})
+            self.end()
+
+    def on_message_begin(self) -> None:
+        self.url = b""
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_message_complete(self) -> None:
+        parts = urlsplit(self.url.decode("ascii", "replace"))
+        query = {key: found[-1] for key, found in parse_qs(parts.query).items()}
+        numbers = {key: text for key, text in query.items() if text.isdecimal()}
+        if parts.path != PATH or len(numbers) != len(query):
+            self._say(404, {"error": "no such call"})
+            return
+        after = int(numbers["after"]) if "after" in numbers else None
+        wait = min(MOST_WAIT, int(numbers.get("wait_ms", 0)) / 1000)
+        timer = asyncio.get_running_loop().call_later(wait, self._answer) if wait else None
+        self.asked = after, timer
+        self.agent.waiting.add(self)
+        if not wait:
+            self._answer()
+        else:
+            self.look()
+
+    def look(self) -> None:
+        """Whether there is something to tell by now."""
+        if self.asked is not None and self.asked[0] != self.agent.version:
+            self._answer()
+
+    def _answer(self) -> None:
+        if self.asked is None or self.agent.silent:
+            return  # it hears once discovery is back, if it still waits
+        after, timer = self.asked
+        if timer is not None:
+            timer.cancel()
+        self.asked = None
+        self.agent.waiting.discard(self)
+        self._say(200, self.agent.answer(after))
+
+    def _say(self, status: int, body: dict[str, object]) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            text = json.dumps(body).encode()
+            reason = b"OK" if status == 200 else b"Error"
+            self.transport.write(b"HTTP/1.1 %d %b\r\nContent-Type: application/json\r\n"
+                                 b"Content-Length: %d\r\n\r\n%b" % (status, reason, len(text), text))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.agent.waiting.discard(self)
+        if self.asked is not None and self.asked[1] is not None:
+            self.asked[1].cancel()
+        self.asked = None
+
+    def end(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/mulleinhall/emulator/live/clients.py
@@ -0,0 +1,201 @@
+"""Connections of clients to one ingress: a request goes out at its time, on a free or a new connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import hiredis
+
+from mulleinhall import interface as api
+from mulleinhall.emulator.gateways import Front, Held
+from mulleinhall.emulator.kernel import Clock
+
+NOTHING = object()
+MOST_WAITING = 10_000  # requests of one client process at one ingress
+
+
+class Checks:
+    """What the clients tell of an answer that breaks a rule; replaced by who plays."""
+
+    def served(self, held: Held, value: bytes) -> None: ...
+
+    def refused(self, held: Held) -> None: ...
+
+    def failed(self, held: Held) -> None: ...
+
+    def dropped(self, held: Held) -> None: ...
+
+    def odd(self, text: str) -> None: ...
+
+
+def command(event: api.Request, left_ms: int) -> bytes:
+    """The request as RESP; `left_ms` is how long the client still waits."""
+    names = (f"c={event.request_class},t={event.plan},d={max(1, left_ms)},units={event.units:g},"
+             f"spread={event.spread},first={event.first}")
+    words = [b"API.WRITE" if event.write else b"API.READ", event.customer.encode(), event.id.encode()]
+    if event.repeat:
+        names += ",r=1"
+    if event.write:
+        names += f",k={event.id.partition('.')[0]:0>16}"
+    words += [names.encode(), b"body"] if event.write else [names.encode()]
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words)
+
+
+class Connection(asyncio.Protocol):
+    """One connection; one request at a time."""
+
+    def __init__(self, caller: Caller) -> None:
+        self.caller, self.reader = caller, hiredis.Reader(notEnoughData=NOTHING)
+        self.transport: asyncio.Transport | None = None
+        self.held: Held | None = None
+        self.event: api.Request | None = None
+        self.answers = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.caller.connections.add(self)
+
+    def ask(self, held: Held, event: api.Request) -> None:
+        assert self.transport is not None
+        self.held, self.event = held, event
+        left = held.record.deadline - self.caller.kernel.now
+        self.transport.write(command(event, int(left * 1000)))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.reader.feed(data)
+            while (answer := self.reader.gets()) is not NOTHING:
+                self._answer(answer)
+        except hiredis.HiredisError as error:
+            self.caller.checks.odd(f"gateway {self.caller.number}: not RESP: {error}")
+            self.end()
+
+    def _answer(self, answer: object) -> None:
+        held, self.held = self.held, None
+        if held is None:
+            self.caller.checks.odd(f"gateway {self.caller.number}: an answer that nothing asked for: "
+                                   f"{answer!r:.80}")
+            self.end()
+            return
+        self.answers += 1
+        self.caller.idle.append(self)
+        self.caller.ended(held, answer)
+
+    def eof_received(self) -> None:
+        self.end()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.caller.connections.discard(self)
+        if self in self.caller.idle:
+            self.caller.idle.remove(self)
+        held, self.held = self.held, None
+        if held is not None and not held.answered:
+            self.caller.lost(self, held)
+
+    def end(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Caller:
+    """All connections to one ingress, as `mulleinhall.emulator.gateways.Taker`."""
+
+    def __init__(self, kernel: Clock, number: int, address: tuple[str, int], checks: Checks) -> None:
+        self.kernel, self.number, self.address, self.checks = kernel, number, address, checks
+        self.front: Front
+        self.life, self.up = 0, False
+        self.connections: set[Connection] = set()
+        self.idle: list[Connection] = []
+        self.held: dict[str, Held] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.taken: Callable[[Held], None] = lambda held: None  # hears of each request that goes out
+
+    def take(self, held: Held, event: api.Request) -> None:
+        if held.left:
+            return
+        if len(self.held) >= MOST_WAITING:
+            self.checks.odd(f"gateway {self.number}: more than {MOST_WAITING} requests wait")
+            self.front.cut_off(held)
+            return
+        self.held[event.id] = held
+        self.taken(held)
+        self._ask(held, event)
+
+    def _ask(self, held: Held, event: api.Request) -> None:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                connection.ask(held, event)
+                return
+        self._reconnect(held, event)
+
+    def _reconnect(self, held: Held, event: api.Request) -> None:
+        task = asyncio.get_running_loop().create_task(self._open(held, event))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _open(self, held: Held, event: api.Request) -> None:
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: Connection(self), *self.address)
+        except OSError:
+            self._cut(held)
+            return
+        if held.left:
+            self.idle.append(connection)
+        else:
+            connection.ask(held, event)
+
+    def _cut(self, held: Held) -> None:
+        self.held.pop(held.record.id, None)
+        if not held.answered and not held.left:
+            held.answered, held.record.excused = True, True
+            self.front.cut_off(held)
+
+    def lost(self, connection: Connection, held: Held) -> None:
+        """The connection ended under a request.  One that was used before may have crossed a close that had
+        nothing to do with the request: it is sent once more, on a new connection."""
+        if held.left:
+            self.held.pop(held.record.id, None)
+        elif connection.answers and connection.event is not None and self.up:
+            self._reconnect(held, connection.event)
+        else:
+            if self.up:
+                self.checks.dropped(held)
+            self._cut(held)
+
+    def ended(self, held: Held, answer: object) -> None:
+        self.held.pop(held.record.id, None)
+        if held.answered or held.left:
+            return
+        held.answered = True
+        if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
+            answer = answer[0]
+        if isinstance(answer, bytes):
+            self.checks.served(held, answer)
+            self.front.answered(held)
+        elif isinstance(answer, hiredis.ReplyError) and str(answer).startswith("BUSY"):
+            self.checks.refused(held)
+            wait = str(answer).partition(" ")[2]
+            self.front.refused(held, int(wait) / 1000 if wait.isdecimal() else 0.0, "busy")
+        else:
+            self.checks.failed(held)
+            self.front.failed(held, "error")
+
+    def leave(self, held: Held) -> None:
+        """The client goes: it closes its connection."""
+        held.left = True
+        self.held.pop(held.record.id, None)
+        for connection in list(self.connections):
+            if connection.held is held:
+                connection.end()
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for connection in list(self.connections):
+            connection.held = None
+            connection.end()
--- /dev/null
+++ b/mulleinhall/emulator/live/ingress.py
@@ -0,0 +1,147 @@
+"""One real ingress under an experiment: its configuration, its process, its signals, its log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from mulleinhall import interface as api
+
+READY = 15.0  # s for a process to say that it serves
+LOOK = 0.05  # s between looks whether it does
+CALL = 2.0  # s for an answer of the second address
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+TICKS = os.sysconf("SC_CLK_TCK")
+
+Address = tuple[str, int]
+
+
+class NotReady(Exception):
+    """The process did not come up; the text has its last words."""
+
+
+def wire_settings(settings: api.Settings, connect_timeout: float, idle: float, most_open: int = 20_000) -> (
+        dict[str, Any]):
+    """The settings in the words of the configuration."""
+    return {
+        "balancers": settings.gateways, "self-index": settings.number, "zone": settings.zone,
+        "tick-s": settings.tick, "membership-mode": "pushed",
+        "categories": [
+            {"name": c.name, "aim-s": c.aim, "give-up-s": c.deadline, "importance": c.worth,
+             "late-worth": c.late_worth, "semantics": c.semantics.value, "key-scope": c.scope.value,
+             "dedup-window-s": c.window, "stream": c.stream} for c in settings.classes],
+        "contracts": [
+            {"name": p.name, "refill": p.rate, "burst": p.burst, "at-once": p.open_limit,
+             "worth-factor": p.price, "over-worth": p.over_worth, "excess-cost": p.over_cost,
+             "hard-rate": p.ceiling_rate, "ceiling-burst": p.ceiling_burst, "cap-slack": p.ceiling_slack}
+            for p in settings.plans],
+        "limits": {"max-attempts": settings.max_attempts, "second-copies": settings.second_copies,
+                   "cancel": settings.cancel, "probing": settings.probing,
+                   "connect-timeout-s": connect_timeout, "keepalive-s": idle, "max-open": most_open},
+        "rules": {"answer-slack-s": settings.answer_slack, "drain-grace-s": settings.drain_grace,
+                  "cold-s": settings.cold_time, "start-capacity": settings.cold_share,
+                  "overload-factor": settings.fall_factor, "fall-s": settings.fall_time,
+                  "ask-within-s": settings.ask_within},
+        "family-info": {"counter": settings.counter, "count-wait-s": settings.counter_timeout,
+                        "most-units": settings.most_units},
+        "prices": {"probe": settings.probe_price}}
+
+
+async def call(address: Address, line: str) -> str:
+    """The answer of a second address to one line."""
+    async with asyncio.timeout(CALL):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(line.encode() + b"\n")
+            return (await reader.read()).decode("utf-8", "replace")
+        finally:
+            writer.close()
+
+
+class Process:
+    """The process; `folder` holds its configuration and its log, which a later start appends to."""
+
+    def __init__(self, name: str, listen: Address, control: Address, folder: Path) -> None:
+        self.name, self.listen, self.control, self.folder = name, listen, control, folder
+        self.path = folder / f"{name}.json"
+        self.child: asyncio.subprocess.Process | None = None
+        self.expected = False  # that it ends
+        self.cpu = 0.0  # s of the processes that have ended
+
+    def write(self, discovery: Address, counter: Address | None, known: dict[str, object], seed: int,
+              settings: dict[str, Any]) -> None:
+        """The configuration file, put in place by a rename."""
+        source = {"name": self.name, "listen": f"{self.listen[0]}:{self.listen[1]}",
+                  "control": f"{self.control[0]}:{self.control[1]}",
+                  "discovery": f"{discovery[0]}:{discovery[1]}", "seed": f"{seed:016x}", "limits": LIMITS,
+                  "known": known, "settings": settings}
+        if counter is not None:
+            source["counter"] = f"{counter[0]}:{counter[1]}"
+        draft = self.path.with_suffix(".draft")
+        draft.write_text(json.dumps(source), encoding="utf-8")
+        draft.replace(self.path)
+
+    async def start(self) -> None:
+        """Starts it and waits until it serves."""
+        self.expected = False
+        temporary = self.folder / f"{self.name}.tmp"
+        temporary.mkdir(exist_ok=True)
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "mulleinhall", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                start_new_session=True, env=os.environ | {
+                    "EDGE_CONFIG": str(self.path), "TMPDIR": str(temporary), "EDGE_LOG": "requests"})
+        try:
+            async with asyncio.timeout(READY):
+                while True:
+                    with contextlib.suppress(OSError):
+                        if (await call(self.control, "ready")).startswith("ok"):
+                            return
+                    if self.child.returncode is not None:
+                        break
+                    await asyncio.sleep(LOOK)
+        except TimeoutError:
+            pass
+        raise NotReady(f"{self.name} does not serve: {self.last_words()}")
+
+    def last_words(self) -> str:
+        text = (self.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
+        return " | ".join(text.strip().split("\n")[-3:])
+
+    def running(self) -> bool:
+        return self.child is not None and self.child.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        if self.child is not None and self.running():
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self.expected = True
+            if number is signal.SIGKILL:
+                self.cpu += self.used()[0]
+            with contextlib.suppress(ProcessLookupError):
+                self.child.send_signal(number)
+
+    async def ended(self, within: float) -> int | None:
+        """Its exit status; None: it still runs."""
+        if self.child is None:
+            return None
+        try:
+            async with asyncio.timeout(within):
+                return await self.child.wait()
+        except TimeoutError:
+            return None
+
+    def used(self) -> tuple[float, int]:
+        """Seconds of the processor and bytes of memory that the process has taken, as the system says."""
+        if self.child is None or not self.running():
+            return 0.0, 0
+        try:
+            fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
+            return (int(fields[11]) + int(fields[12])) / TICKS, int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+        except (OSError, ValueError, IndexError):
+            return 0.0, 0
--- /dev/null
+++ b/mulleinhall/emulator/live/play.py
@@ -0,0 +1,367 @@
+"""One play of an experiment on real sockets: real ingress processes among stand-ins, under an open load."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+from collections.abc import Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any, cast
+
+import structlog
+import uvloop
+
+from mulleinhall import interface as api
+from mulleinhall.emulator import faults
+from mulleinhall.emulator.clients import Population
+from mulleinhall.emulator.experiment import Experiment, PlanKind
+from mulleinhall.emulator.gateways import Held
+from mulleinhall.emulator.live.agent import Agent
+from mulleinhall.emulator.live.clients import Caller, Checks
+from mulleinhall.emulator.live.counter import Counter
+from mulleinhall.emulator.live.ingress import NotReady, Process, call, wire_settings
+from mulleinhall.emulator.live.kernel import RealKernel
+from mulleinhall.emulator.live.servers import StandIn, value_of
+from mulleinhall.emulator.servers import ServerModel
+from mulleinhall.emulator.stage import FRONT_TURNS, LOOKS, Stage, settings_of
+
+SLACK = 0.05  # s beside the rules' own on real sockets
+LATE = 0.02  # s: when this process was so late itself, nobody is blamed for an answer out of time
+END = 5.0  # s for a process to end at the end of the day
+CLIENT_PORT, CONTROL_PORT = 6379, 7001
+
+
+class LiveGateway(Caller):
+    """One ingress: its process, its agent, the clients' connections, and what it was told."""
+
+    def __init__(self, kernel: RealKernel, number: int, process: Process, agent: Agent,
+                 checks: Checks) -> None:
+        super().__init__(kernel, number, process.listen, checks)
+        self.process, self.agent, self.paused = process, agent, False
+        self.leaving: dict[str, float] = {}  # when it was told that a server leaves
+        self.starts: dict[str, float] = {}
+
+    def listed(self, event: api.BackendsChanged) -> None:
+        self.agent.learn(event)
+
+
+class LivePlay(Stage, Checks):
+    """The day.  As a `Ledger` it also checks what reaches the stand-ins."""
+
+    kernel: RealKernel
+
+    def __init__(self, experiment: Experiment, seed: int, folder: Path) -> None:
+        kernel = RealKernel()
+        super().__init__(experiment, seed, kernel)
+        self.folder, self.unix = folder, time.time() - kernel.now
+        folder.mkdir(parents=True, exist_ok=True)
+        self.file = (folder / "emulator.log").open("w", encoding="utf-8")
+        self.lines = structlog.wrap_logger(
+            structlog.PrintLogger(self.file), processors=[structlog.processors.JSONRenderer()])
+        self.stand_ins: dict[str, StandIn] = {}
+        for server in list(self.servers.values()):
+            self._stand_in(server)
+        self.counter = Counter()
+        self.asks: dict[str, Held] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.crashed: list[str] = []
+        self.gateways: list[LiveGateway] = []
+        self.clients: Population
+        self.ended_early = asyncio.Event()
+
+    def _new_server(self) -> ServerModel:
+        server = super()._new_server()
+        if hasattr(self, "stand_ins"):  # one that comes during the day
+            stand_in = self._stand_in(server)
+            self._later(stand_in.open())
+        return server
+
+    def _stand_in(self, server: ServerModel) -> StandIn:
+        found = self.stand_ins[server.id] = StandIn(server, self.kernel, self.network, self)
+        return found
+
+    def _later(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._settled)
+
+    def _settled(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.crashed.append(f"{type(error).__name__}: {error}")
+            self.ended_early.set()
+
+    # The day
+
+    async def play(self) -> dict[str, Any]:
+        began = time.process_time()
+        try:
+            for stand_in in self.stand_ins.values():
+                await stand_in.open()
+            await self.counter.open()
+            await asyncio.gather(*(self._gateway(n) for n in range(self.experiment.fleet.gateways)))
+            self.clients = Population(self.kernel, self.experiment, self.network, self.record, self.gateways,
+                                      self.draws["arrivals"], self.draws["front"])
+            self.kernel.began = asyncio.get_running_loop().time()
+            self.unix = time.time()
+            for gateway in self.gateways:
+                gateway.front, gateway.up = self.clients, True
+            for fault in self.experiment.faults:
+                faults.schedule(fault, self)
+            self.clients.begin()
+            self.kernel.at(LOOKS, self._look)
+            last = self.experiment.seconds + max(c.deadline_s for c in self.experiment.classes) + LOOKS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(last):
+                    await self.ended_early.wait()
+            return await self._finish(time.process_time() - began)
+        finally:
+            await self._close()
+
+    async def _gateway(self, number: int) -> None:
+        agent = Agent(lambda name: self.stand_ins[name].address, self._unix_entry,
+                      lambda entries, full: self._told(number, entries, full))
+        await agent.open()
+        agent.entries = dict(self.board.entries)
+        # An address of its own on the loopback net: the same after each start, and no other play's.
+        host = f"127.{64 + os.getpid() // 256 % 128}.{os.getpid() % 256}.{10 + number}"
+        process = Process(f"n{number}", (host, CLIENT_PORT), (host, CONTROL_PORT), self.folder)
+        gateway = LiveGateway(self.kernel, number, process, agent, self)
+        gateway.taken = self._taken
+        self.gateways.append(gateway)
+        self.gateways.sort(key=lambda one: one.number)
+        self.board.listeners = list(self.gateways)
+        self._write(gateway)
+        await process.start()
+        self._later(self._watch(gateway))
+
+    def _write(self, gateway: LiveGateway) -> None:
+        fleet = self.experiment.fleet
+        settings = wire_settings(settings_of(self.experiment, gateway.number, self.plans),
+                                 fleet.connect_timeout_ms / 1000, fleet.idle_s)
+        gateway.process.write(gateway.agent.address, self.counter.address, gateway.agent.known(),
+                              self.seed * 1000 + gateway.number, settings)
+
+    def _unix_entry(self, entry: api.Backend) -> api.Backend:
+        """Discovery speaks of starts in Unix time."""
+        started = entry.started + self.unix if entry.started else 0.0
+        return replace(entry, started=started)
+
+    async def _watch(self, gateway: LiveGateway) -> None:
+        """A process that ends though nobody ended it has crashed."""
+        child = gateway.process.child
+        assert child is not None
+        status = await child.wait()
+        if not gateway.process.expected:
+            self.rules.broken("crash", self.kernel.now, f"{gateway.process.name} ended with status {status}: "
+                              f"{gateway.process.last_words()}")
+            gateway.up = False
+
+    async def _finish(self, cpu: float) -> dict[str, Any]:
+        whole = not self.ended_early.is_set()
+        figures: dict[str, list[str]] = {}
+        spent, memory = 0.0, 0
+        for gateway in self.gateways:
+            used, held = gateway.process.used()
+            spent, memory = spent + used + gateway.process.cpu, max(memory, held)
+            with contextlib.suppress(OSError):
+                figures[gateway.process.name] = (await call(gateway.process.control, "show-stat")).split("\n")
+        for gateway in self.gateways:
+            gateway.process.send(signal.SIGTERM)
+        for gateway in self.gateways:
+            status = await gateway.process.ended(END) if gateway.up else 0
+            if status != 0:
+                self.rules.broken("ends", self.kernel.now,
+                                  f"{gateway.process.name}: status {status} after SIGTERM")
+        if self.counter.calls:
+            self.rules.broken("no talk", self.kernel.now, f"{self.counter.calls} calls to the counter")
+        if self.crashed:
+            raise NotReady("; ".join(self.crashed))
+        found = self.result(cpu)
+        found["exact"]["whole"] = whole
+        found["ingress"] = {
+            "cpu_ms_a_try": round(1000 * spent / max(1, self.record.totals["tries"]), 4),
+            "memory_mb": round(memory / (1 << 20), 1), "figures": figures}
+        found["late_ms"] = self.kernel.late.row()
+        return found
+
+    async def _close(self) -> None:
+        self.kernel.stop()
+        for gateway in self.gateways:
+            gateway.process.send(signal.SIGKILL)
+            gateway.close()
+            gateway.agent.close()
+        for task in list(self.tasks):
+            task.cancel()
+        for stand_in in self.stand_ins.values():
+            stand_in.close()
+        self.counter.close()
+        for gateway in self.gateways:
+            await gateway.process.ended(END)
+        self.file.close()
+
+    def _look(self) -> None:
+        if self.kernel.now < self.experiment.seconds:
+            self.kernel.after(LOOKS, self._look)
+        second = self.kernel.now - LOOKS / 2
+        self.look_at_servers(second)
+        self.record.gauge(second, "gateways", sum(gateway.up for gateway in self.gateways))
+
+    # Faults
+
+    def reset_server(self, server: ServerModel) -> None:
+        self.stand_ins[server.id].reset()
+
+    def kill_gateway(self, number: int, ended: bool = False) -> None:
+        gateway = self.gateways[number]
+        if not gateway.up and not (ended and gateway.process.running()):
+            return
+        gateway.up = False
+        gateway.life += 1
+        gateway.process.send(signal.SIGKILL)
+        self.record.count(self.kernel.now, "gateways ended" if ended else "gateways killed")
+        if not ended:
+            self.clients.gateway_down(number)
+
+    def end_gateway(self, number: int) -> None:
+        self.gateways[number].process.send(signal.SIGTERM)
+        self.kernel.after(FRONT_TURNS, self.clients.turned, number, False)
+
+    def start_gateway(self, number: int) -> None:
+        self._later(self._start(self.gateways[number]))
+
+    async def _start(self, gateway: LiveGateway) -> None:
+        if gateway.up and gateway.process.running():
+            return
+        await gateway.process.ended(END)
+        self._write(gateway)
+        await gateway.process.start()
+        gateway.life += 1
+        gateway.up = True
+        self.clients.gateway_up(gateway.number)
+        self._later(self._watch(gateway))
+
+    def pause_gateway(self, number: int, on: bool) -> None:
+        gateway = self.gateways[number]
+        for held in gateway.held.values():
+            held.record.excused = True
+        gateway.paused = on
+        gateway.process.send(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def push_load(self, start: float, end: float, factor: float, customers: int) -> None:
+        self.clients.push(start, end, factor, customers)
+
+    def change_plans(self, plans: list[PlanKind]) -> None:
+        self.clients.replan({plan.name: plan for plan in plans}, self.resize)
+        for gateway in self.gateways:
+            if gateway.up:
+                self._write(gateway)
+                gateway.process.send(signal.SIGHUP)
+
+    # What the clients see
+
+    def _taken(self, held: Held) -> None:
+        self.asks[held.record.id] = held
+        gateway = cast(LiveGateway, held.gateway)
+        held.record.excused = held.record.excused or gateway.paused
+        self.log("asks", held.record.id, f"n{gateway.number}")
+        due = held.record.deadline + self.experiment.rules.answer_slack_s + SLACK + LATE
+        self.kernel.at(due, self._due, held)
+
+    def _due(self, held: Held) -> None:
+        gateway = cast(LiveGateway, held.gateway)
+        late = self.kernel.lag() > LATE
+        if not held.answered and not held.left and gateway.up and not late and not gateway.paused:
+            self.rules.due(self.kernel.now, held.record)
+        # An attempt may still be on its way to a server that is slow to read.
+        self.kernel.after(held.record.kind.deadline_s, self._forget, held.record.id)
+
+    def _forget(self, request: str) -> None:
+        self.asks.pop(request, None)
+
+    def _answered(self, held: Held, what: str) -> None:
+        self.log(what, held.record.id, f"n{cast(LiveGateway, held.gateway).number}")
+        if self.kernel.lag() > LATE:
+            held.record.excused = True
+        self.rules.answer(self.kernel.now - SLACK, held.record, what)
+
+    def served(self, held: Held, value: bytes) -> None:
+        self._answered(held, "served")
+        made = [value_of(held.record.id, sent.server) for sent in held.record.attempts]
+        if value not in made:
+            self.rules.broken("made by a server", self.kernel.now,
+                              f"request {held.record.id} was served with {value!r:.80}")
+
+    def refused(self, held: Held) -> None:
+        self.rules.refuse(self.kernel.now, held.record)
+        self._answered(held, "refused")
+
+    def failed(self, held: Held) -> None:
+        self._answered(held, "failed")
+
+    def dropped(self, held: Held) -> None:
+        self.rules.broken("one answer", self.kernel.now,
+                          f"request {held.record.id}: its connection ended without an answer")
+
+    def odd(self, text: str) -> None:
+        self.rules.broken("protocol", self.kernel.now, text)
+
+    # What the servers see
+
+    def _told(self, number: int, entries: list[api.Backend], full: bool) -> None:
+        gateway, now = self.gateways[number], self.kernel.now
+        for entry in entries:
+            if entry.readiness is api.Readiness.READY:
+                gateway.leaving.pop(entry.id, None)
+            else:
+                gateway.leaving.setdefault(entry.id, now)
+            gateway.starts[entry.id] = entry.started
+        if full:
+            named = {entry.id for entry in entries}
+            for name in gateway.starts.keys() - named:
+                gateway.leaving.setdefault(name, now)
+
+    def asked(self, request: str) -> Held | None:
+        return self.asks.get(request)
+
+    def arrived(self, held: Held, server: ServerModel, request: str) -> bool:
+        now, record = self.kernel.now, held.record
+        gateway = cast(LiveGateway, held.gateway)
+        first = not record.attempts
+        self.rules.send(now, record, server.id, server.zone, server.cell)
+        self.rules.draining(now - SLACK, gateway.number, server.id, gateway.leaving.get(server.id))
+        self.record.count(now, "attempts")
+        if first:
+            self.rules.spend(now, record)
+            self.clients.spent(held)
+        knew = gateway.starts.get(server.id, 0.0) >= server.started
+        if self.rules.reached(now, server.id, held.work, knew, server.capacity(), server.cold()):
+            self.record.count(now, "servers that fell over")
+            self.push_over(server)
+            return False
+        return True
+
+    def ended(self, held: Held, place: int, outcome: api.Outcome) -> None:
+        self.rules.ended(held.record, place, outcome)
+        self.record.count(self.kernel.now, f"outcome.{outcome.value}")
+
+    def log(self, event: str, request: str, server: str) -> None:
+        self.lines.info(event, id=request, where=server, time=round(self.unix + self.kernel.now, 6))
+
+
+def play_live(experiment: Experiment, seed: int, folder: Path) -> dict[str, Any]:
+    """Plays it; SIGINT ends the day early, with what was measured as its result."""
+    async def day() -> dict[str, Any]:
+        play = LivePlay(experiment, seed, folder)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, play.ended_early.set)
+        return await play.play()
+
+    return uvloop.run(day())
+
+
--- /dev/null
+++ b/mulleinhall/emulator/play.py
@@ -0,0 +1,38 @@
+"""One play in a process of its own: `python -m mulleinhall.emulator.play FILE SEED FOLDER VERSION`.
+
+Prints its result as one line of JSON.  SIGINT ends the play; what was measured by then is its result.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+from pathlib import Path
+
+from mulleinhall.emulator.experiment import BadExperiment, load_experiment
+
+
+def main(words: list[str]) -> int:
+    try:
+        file, seed, folder, version = words
+        experiment = load_experiment(Path(file))
+    except (ValueError, BadExperiment) as error:
+        print(f"mulleinhall.emulator.play: {error}", file=sys.stderr)
+        return 2
+    if experiment.sockets:
+        from mulleinhall.emulator.live.play import play_live
+
+        result = play_live(experiment, int(seed), Path(folder) / "logs" / f"{version}-{seed}")
+    else:
+        from mulleinhall.emulator.world import World
+
+        world = World(experiment, int(seed))
+        signal.signal(signal.SIGINT, lambda number, frame: world.interrupt())
+        result = world.play()
+    print(json.dumps(result))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/mulleinhall/emulator/rules.py
@@ -0,0 +1,193 @@
+"""The rules, checked from outside: on what crosses the line between the decisions and the world.
+
+Their wording is that of the simulator's wire; nothing here is shared with the module that is checked.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from mulleinhall.emulator.experiment import Experiment, PlanKind, RequestKind
+from mulleinhall.interface import Backend, Outcome, Readiness
+
+MOST_TOLD = 20  # breaks that are told one by one
+COLD_SLACK = 4.0  # mean requests beside the budget of a cold server, for chance
+KNOWING = 2 / 3  # of a cold server's load came from gateways that knew of its start
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """One broken rule."""
+
+    rule: str
+    at: float
+    text: str
+
+
+@dataclass(slots=True)
+class Store:
+    """Units a customer may use: fills at `rate` a second up to `cap`, never emptied by a change of these."""
+
+    rate: float
+    cap: float
+    level: float
+    at: float = 0.0
+
+    def fill(self, now: float) -> float:
+        self.level = min(self.cap, self.level + self.rate * (now - self.at))
+        self.at = now
+        return self.level
+
+
+@dataclass(slots=True)
+class Sent:
+    """One attempt of a request: where it went, and whether it is proved that it never ran."""
+
+    server: str
+    zone: int
+    cell: int
+    at: float
+    out: bool = True
+    never_ran: bool = False
+
+
+@dataclass(slots=True)
+class Record:
+    """One request at one gateway, as the rules see it."""
+
+    id: str
+    kind: RequestKind
+    plan: PlanKind
+    customer: int
+    units: float
+    deadline: float
+    attempts: list[Sent] = field(default_factory=list)
+    ended: bool = False  # the gateway has ended it, or knows that it is over
+    answers: int = 0
+    excused: bool = False  # its gateway was stopped meanwhile
+
+    def may_have_run(self) -> bool:
+        return any(not one.never_ran for one in self.attempts)
+
+
+class Rules:
+    """Counts every break, and tells the first ones."""
+
+    def __init__(self, experiment: Experiment, mean_work: float) -> None:
+        self.spec, self.fleet = experiment.rules, experiment.fleet
+        self.mean_work = mean_work
+        self.counts: Counter[str] = Counter()
+        self.told: list[Break] = []
+        self.ceilings: dict[int, Store] = {}
+        self.lowest = 1.0  # of any ceiling's store, as a share of its burst
+        self._cold: dict[str, deque[tuple[float, float, bool]]] = {}
+        self._load: dict[str, list[float]] = {}  # the sums of the window: all work, that of the knowing
+
+    def broken(self, rule: str, now: float, text: str) -> None:
+        self.counts[rule] += 1
+        if len(self.told) < MOST_TOLD:
+            self.told.append(Break(rule, round(now, 4), text))
+
+    # One final answer
+
+    def answer(self, now: float, one: Record, what: str) -> None:
+        """A final answer leaves the gateway for the client."""
+        one.answers += 1
+        if one.answers > 1:
+            self.broken("one answer", now, f"request {one.id} got answer {one.answers}: {what}")
+        if now > one.deadline + self.spec.answer_slack_s and not one.excused:
+            self.broken("in time", now, f"request {one.id}: {what} {now - one.deadline:.3f} s after its time")
+
+    def refuse(self, now: float, one: Record) -> None:
+        kind = one.kind
+        if kind.semantics == "safe" or (kind.semantics == "keyed" and kind.scope == "all"):
+            return
+        if one.may_have_run():
+            self.broken("no effect twice", now, f"{kind.semantics} request {one.id} is refused though an "
+                        "attempt may have run")
+
+    def due(self, now: float, one: Record) -> None:
+        """The time of the request is up, with slack."""
+        if not one.answers and not one.excused:
+            self.broken("one answer", now, f"request {one.id} got no final answer in its time "
+                        f"({len(one.attempts)} attempts made)")
+
+    # Attempts
+
+    def send(self, now: float, one: Record, server: str, zone: int, cell: int) -> None:
+        """An attempt is sent."""
+        if one.ended:
+            self.broken("nothing after the end", now, f"request {one.id} was over and went to {server}")
+        out = sum(sent.out for sent in one.attempts)
+        if out > self.fleet.second_copies:
+            self.broken("copies", now, f"request {one.id} has {out} attempts out and went to {server}")
+        kind = one.kind
+        if kind.semantics != "safe" and one.may_have_run():
+            first = next(sent for sent in one.attempts if not sent.never_ran)
+            there = (kind.scope == "all" or (kind.scope == "zone" and zone == first.zone)
+                     or (kind.scope == "cell" and cell == first.cell))
+            if kind.semantics == "unsafe" or not there or now > first.at + kind.window_s:
+                self.broken("no effect twice", now, f"{kind.semantics} request {one.id} may have run at "
+                            f"{first.server} and went to {server}")
+        one.attempts.append(Sent(server, zone, cell, now))
+
+    def ended(self, one: Record, number: int, outcome: Outcome) -> None:
+        if number < len(one.attempts):
+            one.attempts[number].out = False
+            one.attempts[number].never_ran = outcome.never_ran
+
+    def spend(self, now: float, one: Record) -> None:
+        """The first attempt of a try reaches a server: the ceiling's store pays."""
+        plan = one.plan
+        if not plan.ceiling_rate:
+            return
+        store = self.ceilings.get(one.customer)
+        if store is None:
+            store = self.ceilings[one.customer] = Store(
+                plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_burst)
+        store.fill(now)
+        store.level -= one.units
+        self.lowest = min(self.lowest, store.level / plan.ceiling_burst)
+        if store.level < -plan.ceiling_slack - 1e-9:
+            self.broken("ceiling", now, f"customer {one.customer} is {-store.level:.1f} units under its "
+                        f"ceiling's store, {plan.ceiling_slack:g} are allowed")
+
+    # Servers
+
+    def draining(self, now: float, gateway: int, server: str, told: float | None) -> None:
+        """An attempt goes to a server of which the gateway was told at `told` that it drains or is gone."""
+        if told is not None and now > told + self.spec.drain_grace_s:
+            self.broken("drain", now, f"gateway {gateway} sent to {server}, told {now - told:.2f} s ago "
+                        "that it leaves")
+
+    def reached(self, now: float, server: str, work: float, knew: bool, capacity: float, cold: bool) -> bool:
+        """Work reaches a server; whether a cold one falls over by it.  `capacity`: nominal s a second."""
+        if not cold:
+            self._cold.pop(server, None)
+            self._load.pop(server, None)
+            return False
+        window = self._cold.setdefault(server, deque())
+        sums = self._load.setdefault(server, [0.0, 0.0])
+        window.append((now, work, knew))
+        sums[0] += work
+        sums[1] += work * knew
+        while window[0][0] < now - self.spec.fall_s:
+            _, old, known = window.popleft()
+            sums[0] -= old
+            sums[1] -= old * known
+        budget = self.spec.fall_factor * capacity * self.spec.fall_s + COLD_SLACK * self.mean_work
+        if sums[0] <= budget:
+            return False
+        if sums[1] >= KNOWING * sums[0]:
+            self.broken("cold", now, f"{server} fell over: {sums[0]:.2f} s of work within "
+                        f"{self.spec.fall_s:g} s, {budget:.2f} s is what it bears")
+        return True
+
+    def forget(self, server: str) -> None:
+        self._cold.pop(server, None)
+        self._load.pop(server, None)
+
+
+def leaves(entry: Backend) -> bool:
+    return entry.readiness is not Readiness.READY
--- /dev/null
+++ b/mulleinhall/emulator/stage.py
@@ -0,0 +1,192 @@
+"""What plays in simulated time and on real sockets have in common: servers, list, rules, result."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import asdict
+from typing import Any
+
+from mulleinhall import interface as api
+from mulleinhall.emulator.experiment import Experiment, PlanKind
+from mulleinhall.emulator.kernel import Clock, streams
+from mulleinhall.emulator.listing import Board
+from mulleinhall.emulator.measure import Recorder, encode
+from mulleinhall.emulator.network import NetworkModel
+from mulleinhall.emulator.rules import Rules, Store
+from mulleinhall.emulator.servers import ServerModel
+
+STREAMS = ("arrivals", "front", "servers", "network", "listing", "faults", "seeds")
+FRONT_TURNS = 0.1  # s until the front has read that a gateway takes no more
+LOOKS = 1.0  # s between looks at states
+
+
+def zone_name(number: int) -> str:
+    return f"z{number}"
+
+
+def settings_of(experiment: Experiment, number: int, plans: list[PlanKind]) -> api.Settings:
+    """What a gateway of this experiment is told at its start."""
+    fleet, rules = experiment.fleet, experiment.rules
+    return api.Settings(
+        classes=tuple(api.RequestClass(
+            c.name, c.aim_s, c.deadline_s, c.worth, c.late_worth, api.Semantics(c.semantics),
+            api.Scope(c.scope), c.window_s) for c in experiment.classes),
+        plans=tuple(api.Plan(
+            p.name, p.rate, p.burst, p.at_once, p.price, 0.0, p.over_cost, p.ceiling_rate, p.ceiling_burst,
+            p.ceiling_slack) for p in plans),
+        number=number, gateways=fleet.gateways, zone=zone_name(number % fleet.zones), tick=0.002,
+        answer_slack=rules.answer_slack_s, drain_grace=rules.drain_grace_s, cold_time=fleet.cold_s,
+        cold_share=fleet.cold_share, fall_factor=rules.fall_factor, fall_time=rules.fall_s, ask_within=10.0,
+        max_attempts=fleet.max_attempts, second_copies=fleet.second_copies, cancel=True, probing=fleet.probes,
+        probe_price=0.01)
+
+
+class Stage(ABC):
+    """The parts of a play, and the steps that faults consist of."""
+
+    def __init__(self, experiment: Experiment, seed: int, kernel: Clock) -> None:
+        self.experiment, self.seed, self.kernel = experiment, seed, kernel
+        self.draws = streams(seed, STREAMS)
+        self.record = Recorder()
+        self.network = NetworkModel(experiment.network, self.draws["network"])
+        self.servers: dict[str, ServerModel] = {}
+        for _ in range(experiment.fleet.servers):
+            self._new_server()
+        self.board = Board(kernel, experiment.listing, self.draws["listing"],
+                           map(self.entry, self.servers.values()))
+        self.rules = Rules(experiment, experiment.load.work_ms / 1000)
+        self.plans = list(experiment.plans)
+        self._done: dict[str, float] = {}
+
+    # Servers
+
+    def _new_server(self) -> ServerModel:
+        number = len(self.servers)
+        server = ServerModel(self.kernel, self.experiment.fleet, number, f"s-{number:05d}",
+                             self.draws["servers"])
+        self.servers[server.id] = server
+        return server
+
+    def entry(self, server: ServerModel, readiness: api.Readiness = api.Readiness.READY) -> api.Backend:
+        return api.Backend(server.id, zone_name(server.zone), "m", server.cell, readiness, 1.0,
+                           server.started)
+
+    @abstractmethod
+    def reset_server(self, server: ServerModel) -> None:
+        """Connections to a former life of the server are reset."""
+
+    def vanish_server(self, server: ServerModel) -> None:
+        """Its machine is gone without a word."""
+        server.die()
+        server.machine = False
+        self.board.learn(self.experiment.listing.silent_s, (self.entry(server, api.Readiness.GONE),))
+
+    def crash_server(self, server: ServerModel) -> None:
+        server.die()
+        self.reset_server(server)
+        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+
+    def push_over(self, server: ServerModel) -> None:
+        """A cold server got more than it bears: it stays down."""
+        server.collapse()
+        self.reset_server(server)
+        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+
+    def start_server(self, server: ServerModel) -> None:
+        server.start()
+        self.rules.forget(server.id)
+        if not server.fallen:
+            self.reset_server(server)
+            self.board.learn(self.experiment.listing.add_s, (self.entry(server),))
+
+    def replace_server(self, server: ServerModel, warning: float) -> None:
+        """It drains and goes; another takes its place at once."""
+        server.draining = True
+        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.DRAINING),))
+        self.kernel.after(warning, self._retire, server)
+        fresh = self._new_server()
+        fresh.zone, fresh.cell = server.zone, server.cell
+        fresh.start()
+        self.board.learn(self.experiment.listing.add_s, (self.entry(fresh),))
+
+    def _retire(self, server: ServerModel) -> None:
+        server.die()
+        self.reset_server(server)
+        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+
+    # Gateways
+
+    @abstractmethod
+    def kill_gateway(self, number: int, ended: bool = False) -> None:
+        """SIGKILL.  `ended`: after a drain, which must have left nothing unanswered."""
+
+    @abstractmethod
+    def end_gateway(self, number: int) -> None:
+        """SIGTERM."""
+
+    @abstractmethod
+    def start_gateway(self, number: int) -> None: ...
+
+    @abstractmethod
+    def pause_gateway(self, number: int, on: bool) -> None:
+        """SIGSTOP, SIGCONT."""
+
+    @abstractmethod
+    def push_load(self, start: float, end: float, factor: float, customers: int) -> None:
+        """All clients (or the first so many) ask `factor` times as much meanwhile."""
+
+    @abstractmethod
+    def change_plans(self, plans: list[PlanKind]) -> None:
+        """SIGHUP everywhere, once the files hold these plans."""
+
+    def reload(self, factor: float) -> None:
+        """Every plan's rate and burst times `factor`."""
+        self.plans = [plan.model_copy(update={
+            "rate": plan.rate * factor, "burst": max(1.0, plan.burst * factor)}) for plan in self.plans]
+        self.change_plans(self.plans)
+
+    def resize(self, store: Store, plan: PlanKind) -> None:
+        """What customers have spent stays spent, in the world's own stores as well."""
+        store.fill(self.kernel.now)
+        store.rate, store.cap, store.level = plan.rate, plan.burst, min(store.level, plan.burst)
+
+    # What is seen
+
+    def look_at_servers(self, second: float) -> None:
+        """What the servers have done in the second that ends now."""
+        work = {"warm": [0.0] * 4, "cold": [0.0] * 4}  # done, possible, waiting, how many
+        for server in self.servers.values():
+            done, self._done[server.id] = server.done - self._done.get(server.id, 0.0), server.done
+            if not server.running or server.draining:
+                continue
+            sums = work["cold" if server.cold() else "warm"]
+            sums[0] += done
+            sums[1] += server.capacity() * LOOKS
+            sums[2] += len(server.queue)
+            sums[3] += 1
+        for name, (done, possible, waiting, count) in work.items():
+            self.record.gauge(second, f"servers.{name}", count)
+            if possible:
+                self.record.gauge(second, f"use.{name}", done / possible)
+                self.record.gauge(second, f"waiting.{name}", waiting)
+        self.record.gauge(second, "connections", sum(s.connections for s in self.servers.values()))
+
+    def result(self, cpu: float) -> dict[str, Any]:
+        return result_of(self.kernel, self.seed, self.record, self.rules, cpu)
+
+
+def result_of(kernel: Clock, seed: int, record: Recorder, rules: Rules, cpu: float) -> dict[str, Any]:
+    """Plain data; in simulated time `exact` is the same in each play of this seed."""
+    worth, latencies = record.worth, sorted(record.latencies.items())
+    exact = {
+        "seed": seed, "seconds": round(kernel.now, 6), "whole": not kernel.stopped, "events": kernel.events,
+        "worth": {key: round(worth[key], 6) for key in ("offered", "earned", "over cost")},
+        "good": round((worth["earned"] - worth["over cost"]) / (worth["offered"] or 1.0), 6),
+        "totals": {key: round(value, 6) for key, value in sorted(record.totals.items())},
+        "latency_ms": {name: one.row() for name, one in latencies},
+        "histograms": {name: encode(one.histogram) for name, one in latencies},
+        "broken": dict(sorted(rules.counts.items())),
+        "breaks": [asdict(one) for one in rules.told],
+        "lowest_ceiling": round(rules.lowest, 6),
+        "series": record.rows()}
+    return {"exact": exact, "cpu_s": round(cpu, 3), "events_a_second": round(kernel.events / cpu) if cpu > 0 else 0}
--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -387,17 +387,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """The final answer "no": tells the client that a retry does no harm."""
+    """The final answer "no": tells the client that a retry does no harm.  `reason`: for the staff."""
 
     id: str
     retry_after: float = 0.0
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """The final answer "failed": promises nothing about the effect."""
+    """The final answer "failed": promises nothing about the effect.  `reason`: for the staff."""
 
     id: str
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -646,7 +646,7 @@
     def _request(self, now: float, event: api.Request) -> None:
         plan, cls = self.plans.get(event.plan), self.classes.get(event.request_class)
         if plan is None or cls is None:  # it came as the settings changed
-            self.actions.append(api.Fail(event.id))
+            self.actions.append(api.Fail(event.id, "unknown"))
             return
         customer = self._customer(now, event.customer, plan, event.spread)
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
@@ -657,9 +657,12 @@
         elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
             job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
         # Danger: a process that is killed for memory loses all it holds; one that refuses loses this one.
-        hopeless = not event.room or (job.late and not cls.late_worth)
-        if hopeless or (plan.ceiling_rate and not customer.ceiling.fits(now, job.units)):
-            self._finish(now, job)
+        if not event.room:
+            self._finish(now, job, "memory")
+        elif job.late and not cls.late_worth:
+            self._finish(now, job, "late")
+        elif plan.ceiling_rate and not customer.ceiling.fits(now, job.units):
+            self._finish(now, job, "ceiling")
         else:
             self._decide(now, job)
 
@@ -674,8 +677,12 @@
         if plan.ceiling_rate and not customer.ceiling.fits(now, job.units):
             pays = False
         rank = self.fleet.rank(job)
-        if not pays or pressure > rank or not self._send(now, job):
-            self._finish(now, job)
+        if not pays:
+            self._finish(now, job, "open" if customer.full() else "quota")
+        elif pressure > rank:
+            self._finish(now, job, "pressure")
+        elif not self._send(now, job):
+            self._finish(now, job, "servers")
 
     def _send(self, now: float, job: Job) -> bool:
         server = self.fleet.best(job, now, self.fleet.near) or self.fleet.best(job, now, self.fleet.present)
@@ -708,16 +715,16 @@
         self.actions.append(api.Send(job.id, server.info.id, max(job.deadline - now, 1e-6)))
         return True
 
-    def _finish(self, now: float, job: Job) -> None:
+    def _finish(self, now: float, job: Job, reason: str) -> None:
         """The final answer from here: refused if that is harmless, else failed."""
         job.over = True
         self.jobs.pop(job.id, None)
         if job.may_refuse():
             # The whole store refills in this time, and the client may come back through another gateway.
             wait = job.units / job.plan.rate if job.plan.rate else 0.0
-            self.actions.append(api.Refuse(job.id, wait))
+            self.actions.append(api.Refuse(job.id, wait, reason))
         else:
-            self.actions.append(api.Fail(job.id))
+            self.actions.append(api.Fail(job.id, reason))
 
     def _started(self, now: float, event: api.StreamStarted) -> None:
         """The answer has begun: the backend has done its work, and no other attempt can take its place."""
@@ -788,7 +795,7 @@
         if self._room_again(now, job) and self._send(now, job):
             self.retries.take(1.0)
         else:
-            self._finish(now, job)
+            self._finish(now, job, "attempt")
 
     def _room_again(self, now: float, job: Job, most: float = 0.0) -> bool:
         useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
--- a/mulleinhall/net/figures.py
+++ b/mulleinhall/net/figures.py
@@ -22,12 +22,18 @@
     def __init__(self, classes: Iterable[str]) -> None:
         self.ends = {(name, end): 0 for name in classes for end in End}
         self.outstanding, self.forwards = 0, 0
+        self.reasons: dict[str, int] = {}  # of the module's own final answers
 
     def know(self, classes: Iterable[str]) -> None:
         """Classes that come later; what was counted for those that go stays."""
         for key in ((name, end) for name in classes for end in End):
             self.ends.setdefault(key, 0)
 
+    def turned_down(self, reason: str) -> None:
+        """The module gave the final answer, for that reason."""
+        if reason:
+            self.reasons[reason] = self.reasons.get(reason, 0) + 1
+
     def taken(self) -> None:
         self.outstanding += 1
 
@@ -42,5 +48,6 @@
             f"app.outstanding:{self.outstanding}|g",
             f"app.discovered:{discovered}|g",
             f"app.ejected:{ejected}|g",
+            *(f"app.turned_down.{reason}:{count}|c" for reason, count in sorted(self.reasons.items())),
             *(f"app.{name}:{count}|{'g' if name.startswith(GAUGES) else 'c'}"
               for name, count in more.items())]
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -29,6 +29,7 @@
 from mulleinhall.net.figures import End, Figures
 from mulleinhall.net.generations import MOST_SHOWN, Generations
 from mulleinhall.net.handover import Handover, Link, Taken, will
+from mulleinhall.net.logs import REQUESTS
 from mulleinhall.net.probes import Check
 
 log = logging.getLogger(__name__)
@@ -474,9 +475,20 @@
             if (attempt := request.upload.attempt) is not None and not attempt.whole:
                 self.backends.cancel(attempt)
         self.figures.ended(request.command.request_class, end)
+        if REQUESTS.isEnabledFor(logging.INFO):
+            self._note(request, end)
         if request.timer is not None:
             request.timer.cancel()
 
+    def _note(self, request: Open, end: End) -> None:
+        """A line of the log, under the id that the client gave."""
+        command = request.command
+        arrived = request.deadline - command.wait
+        REQUESTS.info(end.value, extra={"fields": {
+            "id": command.words[2].decode("ascii", "backslashreplace"), "class": command.request_class,
+            "plan": command.plan, "customer": command.customer, "attempts": request.tries,
+            "ms": round(1000 * (self.clock() - arrived), 3)}})
+
     def _forget(self, key: str) -> None:
         """The module knows that the request is over."""
         request = self.open.pop(key, None)
@@ -571,9 +583,11 @@
         match action:
             case api.Send():
                 self._send(action)
-            case api.Refuse(id=key, retry_after=wait):
+            case api.Refuse(id=key, retry_after=wait, reason=reason):
+                self.figures.turned_down(reason)
                 self._final(key, b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY, End.DECLINED)
-            case api.Fail(id=key):
+            case api.Fail(id=key, reason=reason):
+                self.figures.turned_down(reason)
                 self._final(key, FAILED, End.ABORTED)
             case api.SetTimer(delay=delay, token=token):
                 self.loop.call_later(max(0.0, delay), self.feed, api.Timer(token))
