--- a/mulleinhall/emulator/clients.py
+++ b/mulleinhall/emulator/clients.py
@@ -85,7 +85,8 @@
             while left > 0:
                 use = spec.heavy_x if self.draws.chance(spec.heavy) else self.draws.uniform(*spec.calm_use)
                 left -= min(use, 1.0) * rate
-                spread = min(count, max(1, round(spec.spread * count * self.draws.uniform(0.7, 1.0))))
+                most = min(count, max(2, int(plan.ceiling_burst / 2))) if plan.ceiling_rate else count
+                spread = min(most, max(1, round(spec.spread * count * self.draws.uniform(0.7, 1.0))))
                 weights = [self.draws.lognormal(1.0, spec.uneven) for _ in range(spread)]
                 self.customers.append(Customer(
                     len(self.customers), plan, use * rate, self.draws.below(count), spread,
--- a/mulleinhall/emulator/experiment.py
+++ b/mulleinhall/emulator/experiment.py
@@ -43,6 +43,8 @@
     cores: Count = 2
     speed: Range = (0.85, 1.1)  # of a server, beside the nominal one
     queue_per_core: Whole = 20
+    thrash: Amount = 0.15  # of its pace that a server loses for each request a core beyond `thrash_at`
+    thrash_at: Positive = 5.0  # requests that it holds for each core
     connections_per_core: Count = 600
     handshake_ms: Amount = 1.0  # of a server's work
     handshake_rtts: Amount = 2.0
--- a/mulleinhall/emulator/listing.py
+++ b/mulleinhall/emulator/listing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from mulleinhall.emulator.experiment import Listing
@@ -24,22 +24,23 @@
         self.listeners: list[Listener] = []
         self._told: dict[int, float] = {}  # when the last change reaches each: changes come in order
 
-    def learn(self, delay: tuple[float, float], entries: tuple[Backend, ...]) -> None:
-        """It will know of `entries` after a delay from that range (s)."""
-        self.kernel.after(self.draws.uniform(*delay), self._publish, entries)
+    def learn(self, delay: tuple[float, float], entry: Backend, still: Callable[[], bool]) -> None:
+        """It will know of `entry` after a delay from that range (s), if that is `still` so by then."""
+        self.kernel.after(self.draws.uniform(*delay), self._publish, entry, still)
 
-    def _publish(self, entries: tuple[Backend, ...]) -> None:
+    def _publish(self, entry: Backend, still: Callable[[], bool]) -> None:
         if self.kernel.now < self.down_until:
-            self.kernel.at(self.down_until, self._publish, entries)
+            self.kernel.at(self.down_until, self._publish, entry, still)
+            return
+        if not still():
             return
         self.version += 1
-        for entry in entries:
-            if entry.readiness is Readiness.GONE:
-                self.entries.pop(entry.id, None)
-            else:
-                self.entries[entry.id] = entry
+        if entry.readiness is Readiness.GONE:
+            self.entries.pop(entry.id, None)
+        else:
+            self.entries[entry.id] = entry
         for number, listener in enumerate(self.listeners):
-            self._tell(number, listener, BackendsChanged(ListKind.UPDATE, entries, self.version))
+            self._tell(number, listener, BackendsChanged(ListKind.UPDATE, (entry,), self.version))
 
     def ask(self, number: int, listener: Listener) -> None:
         """A gateway that has started asks for the whole list."""
--- a/mulleinhall/emulator/report.py
+++ b/mulleinhall/emulator/report.py
@@ -65,7 +65,8 @@
 def _plots(folder: Path, experiment: Experiment, by_version: dict[str, list[dict[str, Any]]]) -> (
         list[tuple[str, str]]):
     """The files' names with what they show."""
-    series = {name: merge(row["result"]["exact"]["series"] for row in rows) for name, rows in by_version.items()}
+    series = {name: [row for row in merge(one["result"]["exact"]["series"] for one in rows)
+                     if row["second"] < experiment.seconds] for name, rows in by_version.items()}
     found = [("latency.png", "How long requests took, from the time they were meant to be sent")]
     _latency(folder / found[0][0], {name: _added(rows) for name, rows in by_version.items()})
     for name, plays in series.items():
@@ -79,7 +80,7 @@
             _faults(axes, experiment)
             axes.set(xlabel="time of the day (s)", xlim=(0, experiment.seconds),
                      title=f"{title}: {name}, mean of {len(by_version[name])} plays")
-            axes.legend(loc="upper left", fontsize="x-small", ncols=3)
+            axes.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0), fontsize="x-small", frameon=False)
             figure.savefig(path, dpi=110)
             plt.close(figure)
             found.append((path.name, f"{title}: {name}"))
--- a/mulleinhall/emulator/servers.py
+++ b/mulleinhall/emulator/servers.py
@@ -67,6 +67,10 @@
         full = self.connections / (self.fleet.connections_per_core * self.cores)
         return self.cores * self.speed * self.warmth() * (1 - FULL_TAX * min(1.0, full))
 
+    def _beyond(self) -> float:
+        """Requests for each core that it holds beyond what it holds with ease."""
+        return max(0.0, (self.busy + len(self.queue)) / self.cores - self.fleet.thrash_at)
+
     def accepts(self) -> bool:
         """Whether a connection that reaches it comes up."""
         refuses = self.spoilt is not None and self.spoilt.mode == "refuse"
@@ -97,7 +101,7 @@
 
     def _begin(self, attempt: Caller) -> None:
         self.busy += 1
-        pace = self.capacity() / self.cores
+        pace = self.capacity() / self.cores / (1 + self.fleet.thrash * self._beyond())
         if self.spoilt is not None and self.spoilt.mode == "slow":
             pace /= self.spoilt.factor
         took, self.debt = attempt.work / pace + self.debt, 0.0
--- a/mulleinhall/emulator/stage.py
+++ b/mulleinhall/emulator/stage.py
@@ -71,6 +71,13 @@
         return api.Backend(server.id, zone_name(server.zone), "m", server.cell, readiness, 1.0,
                            server.started)
 
+    def _publish(self, server: ServerModel, delay: tuple[float, float],
+                 readiness: api.Readiness = api.Readiness.READY) -> None:
+        """Discovery hears of it late, and not at all of what has passed by then."""
+        life, entry = server.epoch, self.entry(server, readiness)
+        gone = readiness is api.Readiness.GONE
+        self.board.learn(delay, entry, lambda: server.epoch == life and server.running is not gone)
+
     @abstractmethod
     def reset_server(self, server: ServerModel) -> None:
         """Connections to a former life of the server are reset."""
@@ -79,40 +86,40 @@
         """Its machine is gone without a word."""
         server.die()
         server.machine = False
-        self.board.learn(self.experiment.listing.silent_s, (self.entry(server, api.Readiness.GONE),))
+        self._publish(server, self.experiment.listing.silent_s, api.Readiness.GONE)
 
     def crash_server(self, server: ServerModel) -> None:
         server.die()
         self.reset_server(server)
-        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+        self._publish(server, self.experiment.listing.gone_s, api.Readiness.GONE)
 
     def push_over(self, server: ServerModel) -> None:
         """A cold server got more than it bears: it stays down."""
         server.collapse()
         self.reset_server(server)
-        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+        self._publish(server, self.experiment.listing.gone_s, api.Readiness.GONE)
 
     def start_server(self, server: ServerModel) -> None:
         server.start()
         self.rules.forget(server.id)
         if not server.fallen:
             self.reset_server(server)
-            self.board.learn(self.experiment.listing.add_s, (self.entry(server),))
+            self._publish(server, self.experiment.listing.add_s)
 
     def replace_server(self, server: ServerModel, warning: float) -> None:
         """It drains and goes; another takes its place at once."""
         server.draining = True
-        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.DRAINING),))
+        self._publish(server, self.experiment.listing.gone_s, api.Readiness.DRAINING)
         self.kernel.after(warning, self._retire, server)
         fresh = self._new_server()
         fresh.zone, fresh.cell = server.zone, server.cell
         fresh.start()
-        self.board.learn(self.experiment.listing.add_s, (self.entry(fresh),))
+        self._publish(fresh, self.experiment.listing.add_s)
 
     def _retire(self, server: ServerModel) -> None:
         server.die()
         self.reset_server(server)
-        self.board.learn(self.experiment.listing.gone_s, (self.entry(server, api.Readiness.GONE),))
+        self._publish(server, self.experiment.listing.gone_s, api.Readiness.GONE)
 
     # Gateways
 
