Test the emulator on real sockets, its results on disk and its command line

Need: hard cases of the emulator: coordinated omission, an ingress killed under requests, an interrupted run. Change: 33 tests with real processes and signals; the agent keeps from which version on it knows all changes, since versions may skip (a watch got the whole list for a change).

--- a/mulleinhall/emulator/live/agent.py
+++ b/mulleinhall/emulator/live/agent.py
@@ -31,7 +31,7 @@
     def __init__(self, address_of: Callable[[str], Address], unix: Callable[[Backend], Backend],
                  written: Callable[[list[Backend], bool], None]) -> None:
         self.address_of, self.unix, self.written = address_of, unix, written
-        self.version, self.silent = 1, False
+        self.version, self.since, self.silent = 1, 1, False  # `since`: from where on all changes are kept
         self.entries: dict[str, Backend] = {}
         self.changes: list[tuple[int, Backend]] = []
         self.waiting: set[Watch] = set()
@@ -48,6 +48,7 @@
         if event.kind is ListKind.REPLACE:
             self.entries = {entry.id: entry for entry in event.backends}
             self.changes.clear()
+            self.since = self.version
         else:
             for entry in event.backends:
                 self.changes.append((self.version, entry))
@@ -67,8 +68,7 @@
 
     def answer(self, after: int | None) -> dict[str, object]:
         """The whole list, or what changed since `after`."""
-        oldest = self.changes[0][0] if self.changes else self.version + 1
-        if after is None or after > self.version or (after < self.version and after + 1 < oldest):
+        if after is None or not self.since <= after <= self.version:
             self.written(list(self.entries.values()), True)
             return self.known()
         news: dict[str, Backend] = {}
--- /dev/null
+++ b/tests/test_emulator_live.py
@@ -0,0 +1,286 @@
+"""The emulator on real sockets: stand-ins speak PROTOCOL, the load is open, real processes die and are found out."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import hiredis
+import pytest
+
+from mulleinhall.emulator.clients import Population
+from mulleinhall.emulator.experiment import Experiment, build
+from mulleinhall.emulator.follow import follow
+from mulleinhall.emulator.gateways import Held
+from mulleinhall.emulator.kernel import streams
+from mulleinhall.emulator.live.agent import Agent
+from mulleinhall.emulator.live.clients import Caller, Checks
+from mulleinhall.emulator.live.counter import Counter
+from mulleinhall.emulator.live.ingress import Process
+from mulleinhall.emulator.live.kernel import RealKernel
+from mulleinhall.emulator.live.play import LiveGateway, LivePlay
+from mulleinhall.emulator.live.servers import StandIn, value_of
+from mulleinhall.emulator.measure import Recorder
+from mulleinhall.emulator.network import NetworkModel
+from mulleinhall.emulator.rules import Record
+from mulleinhall.emulator.servers import ServerModel, Spoilt
+from mulleinhall.interface import Backend, BackendsChanged, ListKind, Outcome, Readiness
+from mulleinhall.net.discovery import read_listing
+from mulleinhall.net.http import HttpConnection
+from tests.peers import Caller as Client
+from tests.peers import Peer, Reader, Writer, command, read_command, resp, run, until, value
+
+
+def experiment(**changes: Any) -> Experiment:
+    return build({"name": "test", "seconds": 2.0, "sockets": True, "fleet": {"gateways": 1, "servers": 2},
+                  "load": {"rate": 30, "spread": 1.0, "work_ms": 20}} | changes)
+
+
+class Book:
+    """A ledger in which one request stands."""
+
+    def __init__(self) -> None:
+        spec = experiment()
+        self.record = Record("1.1", spec.classes[0], spec.plans[0], 7, 1.0, 5.0)
+        self.held = Held(Caller(RealKernel(), 0, ("", 0), Checks()), self.record, 0.005, None)
+        self.outcomes: list[Outcome] = []
+        self.faults: list[str] = []
+
+    def asked(self, request: str) -> Held | None:
+        return self.held if request == "1.1" else None
+
+    def arrived(self, held: Held, server: ServerModel, request: str) -> bool:
+        return True
+
+    def ended(self, held: Held, place: int, outcome: Outcome) -> None:
+        self.outcomes.append(outcome)
+
+    def odd(self, text: str) -> None:
+        self.faults.append(text)
+
+    def log(self, event: str, request: str, server: str) -> None:
+        pass
+
+
+@asynccontextmanager
+async def stand_in(**fleet: Any) -> AsyncIterator[tuple[StandIn, Book]]:
+    spec, draws, book = experiment(fleet={"error_rate": 0.0} | fleet), streams(1, ("servers", "network")), Book()
+    kernel = RealKernel()
+    model = ServerModel(kernel, spec.fleet, 0, "s-00000", draws["servers"])
+    server = StandIn(model, kernel, NetworkModel(spec.network, draws["network"]), book)
+    await server.open()
+    try:
+        yield server, book
+    finally:
+        kernel.stop()
+        server.close()
+
+
+def test_a_stand_in_answers_as_the_protocol_has_it() -> None:
+    async def body() -> None:
+        async with stand_in() as (server, book):
+            client = await Client.to(server.address)
+            assert await client.ask(command("1.1")) == [value_of("1.1", "s-00000"), None, None]
+            assert await client.ask(resp(b"PING")) == b"PONG"
+            assert await client.ask(resp(b"CLIENT", b"SETNAME", b"x")) == b"OK"
+            assert isinstance(await client.ask(resp(b"HELLO", b"3")), hiredis.ReplyError)
+            assert str(await client.ask(command("9.9"))) == "SYNTAX"  # nobody asked for that
+            assert len(book.faults) == 1
+            for mode, answer in (("errors", "ERR failed"), ("spoilt", "None")):
+                server.model.spoilt = Spoilt(mode, 1.0, 1.0)
+                assert str(await client.ask(command("1.1"))) == answer
+            server.model.spoilt, server.model.draining = None, True
+            assert str(await client.ask(command("1.1"))) == "BUSY"
+            assert book.outcomes == [Outcome.OK, Outcome.ERROR, Outcome.SPOILT, Outcome.FULL]
+
+    run(body())
+
+
+def test_a_machine_that_vanished_is_silent_and_resets_when_it_is_back() -> None:
+    async def body() -> None:
+        async with stand_in() as (server, _):
+            client = await Client.to(server.address)
+            assert await client.ask(resp(b"PING")) == b"PONG"
+            server.model.die()
+            server.model.machine = False
+            client.writer.write(command("1.1"))
+            answer = asyncio.create_task(client.answer())
+            other = await Client.to(server.address)  # the kernel still accepts; nobody speaks
+            other.writer.write(resp(b"PING"))
+            await asyncio.sleep(0.05)
+            assert not answer.done()
+            server.model.start()
+            server.reset()
+            with pytest.raises((EOFError, ConnectionError)):
+                await answer
+            again = await Client.to(server.address)
+            assert await again.ask(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_a_full_connection_table_turns_connections_away() -> None:
+    async def body() -> None:
+        async with stand_in(cores=1, connections_per_core=2) as (server, _):
+            clients = [await Client.to(server.address) for _ in range(2)]
+            assert [await client.ask(resp(b"PING")) for client in clients] == [b"PONG"] * 2
+            third = await Client.to(server.address)
+            with pytest.raises((EOFError, ConnectionError)):
+                await third.ask(resp(b"PING"))
+            clients[0].writer.close()
+            await until(lambda: server.model.connections < 2)
+            assert await (await Client.to(server.address)).ask(resp(b"PING")) == b"PONG"
+
+    run(body())
+
+
+def test_the_agent_tells_lists_and_changes_as_the_ingress_reads_them() -> None:
+    async def body() -> None:
+        told: list[tuple[list[str], bool]] = []
+        agent = Agent(lambda name: ("127.0.0.1", 6379), lambda entry: entry,
+                      lambda entries, full: told.append(([e.id for e in entries], full)))
+        agent.entries = {"a": Backend("a")}
+        await agent.open()
+        caller = HttpConnection(agent.address)
+
+        async def ask(query: str = "") -> Any:
+            return read_listing(json.loads(await caller.get("/api/targets" + query)))
+
+        first = await ask()
+        assert (first.full, [b.id for b in first.backends]) == (True, ["a"])
+        watch = asyncio.create_task(ask(f"?after={first.version}&wait_ms=10000"))
+        await until(lambda: agent.waiting)
+        agent.learn(BackendsChanged(ListKind.UPDATE, (Backend("b"), Backend("a", readiness=Readiness.GONE)), 9))
+        news = await watch
+        assert (news.version, news.full) == (9, False)
+        assert {b.id: b.readiness for b in news.backends} == {"a": Readiness.GONE, "b": Readiness.READY}
+        assert [b.id for b in (await ask()).backends] == ["b"]
+        assert (await ask(f"?after={news.version}&wait_ms=1")).backends == ()
+        assert (await ask("?after=99&wait_ms=1")).full  # from the future: another store's version
+        agent.learn(BackendsChanged(ListKind.REPLACE, (Backend("c"),), 12))
+        assert (await ask("?after=9&wait_ms=1")).full  # older than all that it remembers
+        agent.silent = True
+        quiet = asyncio.create_task(ask("?after=3&wait_ms=1"))
+        await asyncio.sleep(0.05)
+        assert not quiet.done()
+        quiet.cancel()
+        agent.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(("line", "answer"), [
+    ("ping", "pong"), ("add a 2.5 1000", "ok 2.5"), ("add a", "error"), ("add a nan 1000", "error"),
+    ("add a 1 0", "error"), ("add a 2000000000 9", "error"), (f"add {'x' * 65} 1 9", "error"), ("", "error")])
+def test_the_counter_answers_each_call(line: str, answer: str) -> None:
+    assert Counter().answer(line, 0.0) == answer
+
+
+def test_the_counter_keeps_a_name_for_the_life_that_its_first_call_gave() -> None:
+    counter = Counter()
+    assert [counter.answer("add a 1 2000", now) for now in (0.0, 1.0, 1.9, 2.0)] == ["ok 1", "ok 2", "ok 3", "ok 1"]
+    counter.answer("add b 1 90000", 0.0)
+    assert counter.answer("add b 1 1", 59.9) == "ok 2"
+    assert counter.answer("add b 1 1", 60.0) == "ok 1"  # 60 s at most
+
+
+def test_what_a_stall_would_hide_from_a_closed_loop_is_counted() -> None:
+    """A server that answers nothing for a while: each request that was due meanwhile counts its whole wait."""
+    async def body() -> None:
+        go, first = asyncio.Event(), asyncio.Event()
+
+        async def stalls(_: int, reader: Reader, writer: Writer) -> None:
+            while True:
+                words = await read_command(reader)
+                first.set()
+                await go.wait()
+                writer.write(value(words[2]))
+
+        async with Peer(stalls) as peer:
+            spec = experiment(seconds=0.5, load={"rate": 200, "retries": 0, "spread": 1.0},
+                              classes=[{"name": "read", "aim_s": 10, "deadline_s": 20}])
+            kernel, record, draws = RealKernel(), Recorder(), streams(1, ("arrivals", "front", "network"))
+            caller = Caller(kernel, 0, peer.address, Checks())
+            clients = Population(kernel, spec, NetworkModel(spec.network, draws["network"]), record, [caller],
+                                 draws["arrivals"], draws["front"])
+            caller.front, caller.up = clients, True
+            clients.begin()
+            await first.wait()
+            await until(lambda: kernel.now > 0.6)  # all were due by now, and none was held back
+            sent = record.totals["tries"]
+            released = kernel.now
+            go.set()
+            await until(lambda: record.totals["served"] == sent)
+            assert sent > 50
+            found = record.latencies["request"].histogram
+            assert found.get_total_count() == sent
+            # They were spread over half a second: half of them waited for longer than half of the stall.
+            assert found.get_value_at_percentile(50) / 1e6 > released - 0.5
+            assert found.get_min_value() / 1e6 >= released - 0.5 - 0.01
+            kernel.stop()
+            caller.close()
+
+    run(body())
+
+
+def play(spec: Experiment, folder: Path, seed: int = 1) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+
+    async def body() -> None:
+        found.update(await LivePlay(spec, seed, folder).play())
+
+    run(body())
+    return found
+
+
+def test_an_ingress_killed_and_stopped_under_requests_breaks_no_rule(tmp_path: Path) -> None:
+    found = play(experiment(
+        seconds=4.0, fleet={"gateways": 2, "servers": 3, "cold_s": 1},
+        load={"rate": 40, "spread": 1.0, "work_ms": 20, "notice_s": [0.3, 0.5]},
+        faults=[{"kind": "kill-gateways", "at": 1.0, "lasts": 0.5, "share": 0.5},
+                {"kind": "pause-gateways", "at": 3.0, "lasts": 0.4, "share": 0.5},
+                {"kind": "roll-servers", "at": 1.0, "lasts": 1, "share": 0.4, "steps": 1, "warning_s": 1}]), tmp_path)
+    exact = found["exact"]
+    assert exact["broken"] == {}, exact["breaks"]
+    assert exact["totals"]["gateways killed"] == 1
+    assert exact["totals"]["served"] > 0.5 * exact["totals"]["first tries"]
+    assert found["ingress"]["memory_mb"] > 1
+    name = next(json.loads(line)["id"] for line in (tmp_path / "emulator.log").read_text().split("\n")
+                if '"served"' in line)
+    text = "\n".join(follow(tmp_path.parent, name))
+    for step in ("asks", "gets", "answers ok", "succeeded", "served"):
+        assert f" {step}" in text
+
+
+def test_a_process_that_dies_by_itself_is_a_crash(tmp_path: Path) -> None:
+    async def body() -> None:
+        day = LivePlay(experiment(seconds=1.0), 1, tmp_path)
+        ended = asyncio.create_task(day.play())
+        await until(lambda: day.gateways and day.gateways[0].up)
+        child = day.gateways[0].process.child
+        assert child is not None
+        child.send_signal(signal.SIGKILL)  # not by the day's doing
+        exact = (await ended)["exact"]
+        assert exact["broken"].get("crash") == 1
+
+    run(body())
+
+
+def test_an_answer_that_no_server_made_is_a_break(tmp_path: Path) -> None:
+    async def body() -> None:
+        day = LivePlay(experiment(seconds=1.0), 1, tmp_path)
+        process = Process("n0", ("127.0.0.1", 1), ("127.0.0.1", 2), tmp_path)
+        agent = Agent(lambda name: ("", 0), lambda entry: entry, lambda entries, full: None)
+        held = Held(LiveGateway(day.kernel, 0, process, agent, day), Record(
+            "1.1", day.experiment.classes[0], day.experiment.plans[0], 1, 1.0, 5.0), 0.1, None)
+        day.served(held, b"1.1 by s-00000")
+        assert day.rules.counts == {"made by a server": 1}
+        day.kernel.stop()
+        day.file.close()
+
+    run(body())
--- /dev/null
+++ b/tests/test_mothdrift.py
@@ -0,0 +1,218 @@
+"""The command line: what it prints, its status, what it keeps when it is interrupted."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from mulleinhall.emulator import cli
+from mulleinhall.emulator.compare import compare, interval, slow_seconds
+from mulleinhall.emulator.experiment import build, load_experiment
+from mulleinhall.emulator.measure import Latencies, decode, encode
+from mulleinhall.emulator.report import make_report, merge
+from mulleinhall.emulator.results import PLAYS, BadResults, Results, read_plays
+from mulleinhall.emulator.shrink import to_toml
+from mulleinhall.emulator.versions import NoSuchVersion, lay_out
+from mulleinhall.interface import Action, Event, Refuse
+from mulleinhall.logic import Gateway
+from tests.peers import config_text
+
+ROOT = Path(__file__).resolve().parent.parent
+SMALL: dict[str, Any] = {"name": "small", "seconds": 2.0, "seeds": [1, 2], "fleet": {"gateways": 2, "servers": 4},
+                         "load": {"use": 0.3}, "faults": [{"kind": "burst", "at": 1, "lasts": 1, "factor": 2.0}]}
+
+
+def mothdrift(*words: str) -> Result:
+    return CliRunner().invoke(cli.main, words)
+
+
+def write(folder: Path, **changes: Any) -> Path:
+    path = folder / "small.toml"
+    path.write_text(to_toml(build(SMALL | changes)), encoding="utf-8")
+    return path
+
+
+def test_help_teaches_every_command() -> None:
+    text = mothdrift("--help").output
+    for name in ("run", "check", "emulate", "load", "experiment", "report"):
+        assert name in text
+        assert "Usage: " in mothdrift(name, "--help").output
+    assert "Status: 0" in text
+
+
+def test_check_takes_both_kinds_of_file_and_names_every_fault(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.json", tmp_path / "bad.json"
+    good.write_text(config_text(), encoding="utf-8")
+    bad.write_text("{}", encoding="utf-8")
+    assert mothdrift("check", str(good)).exit_code == 0
+    assert mothdrift("check", str(bad)).exit_code == 2
+    assert "2 seed(s)" in mothdrift("check", str(write(tmp_path))).output
+    broken = tmp_path / "broken.toml"
+    broken.write_text('name = ""\nseconds = -1\n', encoding="utf-8")
+    assert mothdrift("check", str(broken)).exit_code == 2
+    broken.write_text('name = "a', encoding="utf-8")
+    assert mothdrift("check", str(broken)).exit_code == 2
+
+
+def test_emulate_prints_the_same_result_for_the_same_seed(tmp_path: Path) -> None:
+    path = str(write(tmp_path))
+    first, second = (json.loads(mothdrift("emulate", path, "--seed", "5", "--json").output) for _ in range(2))
+    assert first["exact"] == second["exact"]
+    shown = mothdrift("emulate", path)
+    assert shown.exit_code == 0 and "p99_ms" in shown.output
+
+
+class Mute(Gateway):
+    """Refuses nobody aloud."""
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        return [action for action in super().handle(now, event) if not isinstance(action, Refuse)]
+
+
+def test_a_broken_rule_ends_with_status_1_and_a_smaller_experiment(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path, small = write(tmp_path, load={"use": 0.3, "heavy": 0.5}), tmp_path / "least.toml"
+    assert mothdrift("emulate", str(path)).exit_code == 0
+    monkeypatch.setattr("mulleinhall.emulator.world.Gateway", Mute)
+    found = mothdrift("emulate", str(path), "--shrink", str(small))
+    assert found.exit_code == 1 and "broken: one answer" in found.output
+    assert load_experiment(small).faults == []
+    assert mothdrift("emulate", str(small)).exit_code == 1
+
+
+def test_an_experiment_compares_versions_in_pairs_and_writes_a_report(tmp_path: Path) -> None:
+    path = write(tmp_path, versions=[{"name": "one"}, {"name": "two"}])
+    folder = tmp_path / "out"
+    found = mothdrift("experiment", str(path), "--to", str(folder), "--jobs", "2", "--quiet")
+    assert found.exit_code == 0, found.output
+    assert "two beside one" in found.output
+    page = (folder / "report.html").read_text(encoding="utf-8")
+    assert "two beside one, paired by seed" in page and "No rule was broken" in page
+    for name in ("latency", "refusals-one", "states-two", "answers-one", "ends-two"):
+        assert (folder / f"{name}.png").read_bytes().startswith(b"\x89PNG")
+    rows = read_plays(folder / PLAYS)
+    assert {(row["version"], row["seed"]) for row in rows} == {("one", 1), ("one", 2), ("two", 1), ("two", 2)}
+    by_seed = {(row["version"], row["seed"]): row["result"]["exact"] for row in rows}
+    assert by_seed["one", 1] == by_seed["two", 1]  # the same code, the same day
+    before = (folder / PLAYS).read_bytes()
+    assert mothdrift("experiment", str(path), "--to", str(folder), "--quiet").exit_code == 0
+    assert (folder / PLAYS).read_bytes() == before  # nothing was left to play
+    assert mothdrift("report", str(folder)).exit_code == 0
+
+
+def test_an_interrupted_experiment_keeps_what_it_measured_and_goes_on(tmp_path: Path) -> None:
+    path = write(tmp_path, seeds=list(range(1, 200)))
+    folder = tmp_path / "out"
+    words = [sys.executable, "-m", "mulleinhall.emulator", "experiment", str(path), "--to", str(folder),
+             "--jobs", "2", "--quiet"]
+    process = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    limit = time.monotonic() + 60
+    while not (folder / PLAYS).exists() or (folder / PLAYS).read_text().count("\n") < 2:
+        assert time.monotonic() < limit
+        time.sleep(0.02)
+    process.send_signal(signal.SIGINT)
+    assert process.wait(60) == 130
+    kept = read_plays(folder / PLAYS)
+    assert 2 <= len(kept) < 199
+    assert (folder / "report.html").exists()
+    whole = [row["seed"] for row in kept if row["result"]["exact"]["whole"]]
+    again = Results(folder, build(SMALL | {"seeds": list(range(1, 200))}))
+    assert again.done() == {("now", seed) for seed in whole}
+
+
+def test_a_torn_line_is_cut_off_and_its_play_is_played_anew(tmp_path: Path) -> None:
+    one = build(SMALL)
+    results = Results(tmp_path, one)
+    for seed in (1, 2):
+        results.add("now", seed, {"exact": {"whole": True}})
+    path = tmp_path / PLAYS
+    whole = path.read_bytes()
+    for cut in range(1, 40, 7):
+        path.write_bytes(whole[:-cut])
+        assert Results(tmp_path, one).done() == {("now", 1), ("now", 2)} if cut == 1 else {("now", 1)}
+    path.write_bytes(b"{}\n" + whole)
+    with pytest.raises(BadResults, match="line 1"):
+        Results(tmp_path, one)
+    path.write_bytes(whole)
+    with pytest.raises(BadResults, match="another experiment"):
+        Results(tmp_path, build(SMALL | {"seconds": 3.0}))
+
+
+def test_a_version_is_the_package_of_its_revision_under_this_emulator(tmp_path: Path) -> None:
+    assert lay_out("", tmp_path) == ROOT
+    with pytest.raises(NoSuchVersion, match="no revision"):
+        lay_out("no-such-revision", tmp_path)
+    tree = lay_out("HEAD", tmp_path)
+    assert (tree / "mulleinhall" / "logic.py").exists()
+    assert (tree / "mulleinhall" / "emulator" / "cli.py").read_bytes() == Path(cli.__file__).read_bytes()
+    assert lay_out("HEAD", tmp_path) == tree
+
+
+def test_a_play_that_fails_is_told_with_its_last_words(tmp_path: Path) -> None:
+    path = write(tmp_path, versions=[{"name": "old", "revision": "nowhere"}])
+    assert mothdrift("experiment", str(path), "--to", str(tmp_path / "out"), "--quiet").exit_code == 2
+
+
+def test_a_load_needs_an_ingress_that_answers(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(config_text(listen="127.0.0.1:1"), encoding="utf-8")
+    assert mothdrift("load", str(path), "--seconds", "0.2").exit_code == 2
+
+
+def test_run_becomes_the_ingress(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("{}", encoding="utf-8")
+    done = subprocess.run([sys.executable, "-m", "mulleinhall.emulator", "run", str(path)], cwd=ROOT,
+                          env=os.environ | {"TMPDIR": str(tmp_path)}, capture_output=True, check=False)
+    assert done.returncode == 2 and b"mulleinhall: listen: missing" in done.stderr
+
+
+def test_differences_are_paired_and_only_told_where_the_seeds_agree() -> None:
+    keys = ("good", "served", "p50_ms", "p99_ms", "refused", "with_room", "beyond", "attempts", "slow_s", "broken")
+    base = {seed: dict.fromkeys(keys, float(seed)) for seed in range(10)}
+    better = {seed: {key: value + 1 for key, value in row.items()} for seed, row in base.items()}
+    mixed = {seed: {key: value + (-1) ** seed for key, value in row.items()} for seed, row in base.items()}
+    told = {one.figure: one for one in compare(base, better)}
+    assert told["good"].told and told["good"].better == 10 and told["p99_ms"].better == 0
+    assert not any(one.told for one in compare(base, mixed))
+    assert compare(base, {99: base[1]}) == []
+    low, high = interval([1.0, 2.0, 3.0])
+    assert 1.0 <= low < 2.0 < high <= 3.0
+
+
+def test_slow_seconds_count_from_the_first_fault_against_those_before() -> None:
+    rows = [{"second": s, "request.n": 10, "request.sum": 1.0 if s in (7, 8) else 0.2} for s in range(12)]
+    assert slow_seconds(rows, 6.0) == 2
+    assert slow_seconds(rows, 0.0) == 0  # nothing tells what is usual
+
+
+def test_histograms_survive_their_way_through_a_file_and_add_up() -> None:
+    one = Latencies()
+    for ms in range(1, 1001):
+        one.add(ms / 1000)
+    again = decode(encode(one.histogram))
+    assert again.get_total_count() == 1000
+    assert again.get_value_at_percentile(99) / 1000 == pytest.approx(990, rel=0.01)
+    again.add(decode(encode(one.histogram)))
+    assert again.get_total_count() == 2000
+
+
+def test_series_are_averaged_second_by_second() -> None:
+    assert merge([[{"second": 0, "a": 2.0}], [{"second": 0, "a": 4.0, "b": 1.0}]]) == [
+        {"second": 0, "a": 3.0, "b": 0.5}]
+
+
+def test_a_report_needs_plays(tmp_path: Path) -> None:
+    Results(tmp_path, build(SMALL))
+    (tmp_path / PLAYS).write_text("", encoding="utf-8")
+    with pytest.raises(BadResults, match="no play"):
+        make_report(tmp_path)
