--- a/mulleinhall/health.py
+++ b/mulleinhall/health.py
@@ -41,6 +41,9 @@
 STARVED, STARVED_FOR = 0.1, 1.0  # patiences: a timer this late tells of a starved process, and for how long
 
 
+LOST = frozenset(("timed out", "overtaken", "no connection", "reset"))  # reasons that doubt the connections as well
+
+
 class State(Enum):
     HEALTHY = "healthy"
     SUSPECT = "suspect"
@@ -246,6 +249,8 @@
         one.relapses = min(one.relapses + 1, MOST_RELAPSES) if relapse else 0
         self.ejections[reason] = self.ejections.get(reason, 0) + 1
         self._pause(one, now)
+        if reason in LOST:
+            self.actions.append(api.CloseIdle(one.id))  # what is open there may be open at one end only
         if one.probe_at < now:
             one.probe_at = now + self.rng.random() * self.probe_period
         self._turn(one, now, State.EJECTED,
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -24,6 +24,7 @@
 from mulleinhall.interface import (
     Backend,
     BackendsChanged,
+    CloseIdle,
     ListKind,
     Log,
     Outcome,
@@ -731,3 +732,13 @@
     ejected_b0(play)
     assert play.gateway.avoided(play.now) == play.gateway.health()["health.ejected"] == 1
     assert play.gateway.fleet.servers["b0"].health.odds(0.01) >= EJECT
+
+
+@pytest.mark.parametrize("outcome", FOUND)
+def test_an_ejection_that_doubts_the_connections_gives_the_idle_ones_back(outcome: Outcome) -> None:
+    ward = Ward(8)
+    while ward.all[0].state is not State.EJECTED:
+        ward.fail(ward.all[0], outcome, silent=outcome is Outcome.CANCELLED)
+    closes = [action for action in ward.outliers.actions if isinstance(action, CloseIdle)]
+    # A server that answers, however badly, keeps them: a handshake costs both sides.
+    assert closes == ([] if outcome in (ERROR, Outcome.SPOILT) else [CloseIdle("s0")])
