--- a/mulleinhall/health.py
+++ b/mulleinhall/health.py
@@ -41,7 +41,7 @@
 STARVED, STARVED_FOR = 0.1, 1.0  # patiences: a timer this late tells of a starved process, and for how long
 
 
-LOST = frozenset(("timed out", "overtaken", "no connection", "reset"))  # reasons that doubt the connections as well
+LOST = frozenset(("timed out", "overtaken", "no connection", "reset"))  # reasons to doubt connections as well
 
 
 class State(Enum):
