Keep a membership between the processes of an ingress, any number of them

Need: a chain of three counted only neighbours; a stopped process that held the listener stopped all; a lost link was a death. Change: presence.py asks the system who is there; every 0.1 s a process tells its row, which others pass on; what each may hold is given, never assumed; the youngest that is ready and heard from accepts, under a lease; links are made anew; show-members at the second address. Off where there is no other process: nothing is told, nothing is looked up.

--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -9,13 +9,15 @@
 import os
 import socket
 import tempfile
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import asdict, astuple
 from pathlib import Path
 from typing import Any, Protocol, cast
 
 import mulleinhall.interface as api
 from mulleinhall.net.discovery import Listing
+from mulleinhall.net.members import Row, read_row
+from mulleinhall.net.presence import Presence, reached
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +47,8 @@
                 name: (host, port) for name, (host, port) in message["addresses"].items()})
             self.estate = read_estate(message["estate"], message["form"])
             self.documents: list[Mapping[str, Any]] = message.get("documents", [])
+            # Of the one before; a build that kept no membership has none.
+            self.row: Row | None = read_row(message["row"]) if message.get("row") else None
         except (KeyError, TypeError, ValueError) as error:
             raise CannotTakeOver(f"{type(error).__name__}: {error}") from error
 
@@ -71,9 +75,10 @@
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
-         estate: api.Estate, documents: Iterable[Mapping[str, Any]]) -> dict[str, Any]:
+         estate: api.Estate, documents: Iterable[Mapping[str, Any]], row: Row | None = None) -> dict[str, Any]:
     """The first message to a process that takes over.  `documents`: generations, the present one last."""
     return {
+        "row": row.written() if row is not None else None,
         "form": FORM, "documents": list(documents), "version": version, "addresses": addresses,
         "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
                      if info.id in addresses],
@@ -83,22 +88,12 @@
                    "backends": [astuple(b) for b in estate.backends], "fresh": estate.fresh}}
 
 
-@contextlib.contextmanager
-def _reached(path: Path) -> Iterator[str]:
-    """A name for the path that fits into a socket's address, however deep the folder lies."""
-    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
-    try:
-        yield f"/proc/self/fd/{folder}/{path.name}"
-    finally:
-        os.close(folder)
-
-
 def take_over(path: Path) -> Taken | None:
     """Asks the process before, if there is one.  Blocks: this one does not serve yet."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
         sock.settimeout(PATIENCE)
         try:
-            with _reached(path) as name:
+            with reached(path) as name:
                 sock.connect(name)
             data, files, _, _ = socket.recv_fds(sock, 1, 1)
         except TimeoutError as error:
@@ -139,8 +134,10 @@
 class Link(asyncio.Protocol):
     """A connection to another process of this ingress: one line of JSON a message."""
 
-    def __init__(self, handover: Handover, after: bool) -> None:
-        self.handover, self.after = handover, after  # whether the other one came after this
+    def __init__(self, handover: Handover, after: bool, heir: bool = False) -> None:
+        """`after`: the other one came after this; `heir`: and takes over from it."""
+        self.handover, self.after, self.heir = handover, after, heir
+        self.name = ""  # of the other, once it has told
         self.transport: asyncio.Transport | None = None
         self.rest = b""
         self.held: tuple[int, ...] = ()  # what the other holds of what both may
@@ -148,7 +145,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
         owner = self.handover.owner
-        if self.after:
+        if self.heir:
             listener, will = owner.last_will()
             if listener is not None:
                 self._pass_on(listener)
@@ -193,8 +190,37 @@
 
     def __init__(self, path: Path, owner: Owner) -> None:
         self.path, self.owner, self.links = path, owner, set[Link]()
+        self.presence = Presence(path)
         self.loop = asyncio.get_running_loop()
         self.server: asyncio.Server | None = None
+        self.peers: asyncio.Server | None = None  # where others reach this one who do not take over
+        self.dialling: dict[str, asyncio.Task[None]] = {}
+
+    async def announce(self) -> None:
+        """Before anything is taken over: who is not known to be there gets nothing."""
+        sock = self.presence.announce()
+        if sock is None:
+            log.warning("other processes of this ingress can't reach this one")
+            return
+        self.peers = await self.loop.create_unix_server(lambda: Link(self, after=True), sock=sock)
+
+    def dial(self, name: str) -> None:
+        """Reaches another process to which the link is lost, once at a time."""
+        if name not in self.dialling:
+            task = self.loop.create_task(self._dial(name))
+            self.dialling[name] = task
+            task.add_done_callback(lambda _: self.dialling.pop(name, None))
+
+    async def _dial(self, name: str) -> None:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            with reached(self.presence.place(name)) as place:
+                await self.loop.sock_connect(sock, place)
+            await self.loop.create_unix_connection(lambda: Link(self, after=False), sock=sock)
+        except OSError as error:
+            log.info("process %s is not reached: %s", name, error)
+            sock.close()
 
     async def open(self, taken: Taken | None) -> None:
         if taken is not None:
@@ -207,7 +233,7 @@
         """Lets the next process find this one; again, where one that came after had the place and is gone."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            with _reached(self.path.with_name(f"{self.path.name}.{os.getpid()}")) as name:
+            with reached(self.path.with_name(f"{self.path.name}.new.{os.getpid()}")) as name:
                 with contextlib.suppress(FileNotFoundError):
                     os.unlink(name)
                 sock.bind(name)
@@ -218,7 +244,7 @@
             sock.close()
             return
         former, self.server = self.server, await self.loop.create_unix_server(
-            lambda: Link(self, after=True), sock=sock)
+            lambda: Link(self, after=True, heir=True), sock=sock)
         if former is not None:
             former.close()
 
@@ -228,8 +254,12 @@
                 link.tell(message)
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        for server in (self.server, self.peers):
+            if server is not None:
+                server.close()
+        for task in self.dialling.values():
+            task.cancel()
+        self.presence.leave()
         for link in list(self.links):
             if link.transport is not None:
                 link.transport.close()
