Share the servers out evenly among the gateways that prefer them

Cause: Fleet.prefer drew twelve servers for each gateway by itself; 200 gateways prefer a server 18.8 times with a deviation of 4.3, so that some jam while others idle. Change: gateways with numbers in a row take slices of one order, and keep the servers they know while they can.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -259,7 +259,8 @@
         self.done, self.done_at = 0.0, 0.0  # answers a second of the preferred, smoothed over a cold time
         self.densities: deque[float] = deque(maxlen=256)
         self.present: list[Server] = []
-        self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
+        self.near: list[Server] = []  # this gateway's subset: what it learns is of use
+        self.seen: set[str] = set()  # backends that were present when it was chosen
         self.held: dict[tuple[str, int], tuple[float, float]] = {}
         self.area, self.sends, self.wait_at = BUSY, 1.0, -1e18
 
@@ -288,8 +289,19 @@
         self.prefer()
 
     def prefer(self) -> None:
-        self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
-        self.near = self.near[:SUBSET]
+        """Danger: where each gateway chooses for itself, some backends are chosen half as often again as
+        others, and jam while others idle.  Gateways with numbers in a row share out one order of all, drawn
+        anew for each such round; one that is known stays while it can: what was learned of it is of use."""
+        rounds = max(1, len(self.present) // SUBSET)
+        turn, place = divmod(self.settings.number, rounds)
+        order = sorted(self.present, key=lambda s: crc32(f"{turn} {s.info.id}".encode()))
+        ours = {s.info.id for s in order[place * SUBSET:(place + 1) * SUBSET]}
+        former, before = {s.info.id for s in self.near}, self.seen
+        self.seen = {s.info.id for s in self.present}
+        ranked = sorted(order, key=lambda s: (
+            0 if s.info.id in ours and (s.info.id in former or s.info.id not in before)
+            else 1 if s.info.id in former else 2 if s.info.id in ours else 3))
+        self.near = ranked[:SUBSET]
         for server in self.servers.values():
             server.near = False
         for server in self.near:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -12,12 +13,13 @@
     Cancel,
     ListKind,
     Outcome,
+    Readiness,
     Request,
     Send,
     SetTimer,
     Timer,
 )
-from mulleinhall.logic import AMPLE, COPIES, COPY, Gateway
+from mulleinhall.logic import AMPLE, COPIES, COPY, SUBSET, Gateway
 
 from .conftest import BASIC, FLEET, SAFE, SETTINGS, Play, sends
 
@@ -188,3 +190,42 @@
     play.at(COPY * SAFE.aim, Timer(COPIES))
     play.end(first, attempt=0)
     assert play.gateway.copy_odds < odds
+
+
+def preferred(gateways: int, servers: list[str]) -> list[Gateway]:
+    fleet = BackendsChanged(ListKind.RESTORED, tuple(Backend(name) for name in servers))
+    found = [Gateway(replace(SETTINGS, gateways=gateways, number=n), n) for n in range(gateways)]
+    for gateway in found:
+        gateway.handle(1.0, fleet)
+    return found
+
+
+def names(gateway: Gateway) -> set[str]:
+    return {server.info.id for server in gateway.fleet.near}
+
+
+@pytest.mark.parametrize(("gateways", "servers"), [(200, 128), (218, 128), (60, 39), (200, 200), (50, 1000)])
+def test_servers_are_preferred_by_equally_many_gateways(gateways: int, servers: int) -> None:
+    every = [f"s{n}" for n in range(servers)]
+    counts = Counter(name for gateway in preferred(gateways, every) for name in names(gateway))
+    mean = gateways * SUBSET / servers
+    # By independent draws the deviation would be the root of the mean: 4.3 of 18.8 at 200 before 128.
+    deviation = (sum((counts[name] - mean) ** 2 for name in every) / servers) ** 0.5
+    assert deviation < max(1.2, 0.35 * mean ** 0.5) and max(counts.values()) <= mean + 4
+
+
+def test_what_is_known_of_servers_is_kept_when_others_come_and_go() -> None:
+    every = [f"s{n}" for n in range(128)]
+    found = preferred(100, every)
+    before = [names(gateway) for gateway in found]
+    lost = set(every[::4])
+    for gateway, had in zip(found, before, strict=True):
+        gateway.handle(2.0, BackendsChanged(ListKind.UPDATE, tuple(
+            Backend(name, readiness=Readiness.GONE) for name in lost)))
+        assert had - lost <= names(gateway) and len(names(gateway)) == SUBSET
+    for gateway in found:
+        gateway.handle(3.0, BackendsChanged(ListKind.UPDATE, tuple(Backend(name, started=3.0) for name in lost)))
+    # Those that are back are taken up at once, by as many as had them.
+    counts = Counter(name for gateway in found for name in names(gateway))
+    assert min(counts[name] for name in lost) >= 5
+    assert sum(names(gateway) == had for gateway, had in zip(found, before, strict=True)) > 90
