Keep one link between two processes, and a fresh row in the hand-over

Cause: a process that was alone tells no rows, so the one in the hand-over was old (Ingress._beat, last_will); the newcomer took the link for lost and dialled a second one, and what is spent was told over both. Change: the hand-over's row is new; links whose end has no name yet count; a second link to the same process closes.

--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -169,6 +169,10 @@
             log.warning("another process does not read: it is given up")
             self.transport.abort()
 
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
     def data_received(self, data: bytes) -> None:
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
@@ -261,5 +265,4 @@
             task.cancel()
         self.presence.leave()
         for link in list(self.links):
-            if link.transport is not None:
-                link.transport.close()
+            link.close()
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -362,6 +362,8 @@
     def last_will(self) -> tuple[socket.socket | None, dict[str, Any]]:
         """What one that comes after this must have."""
         infos = [s.info for s in self.gateway.fleet.servers.values()]
+        if self.members is not None:
+            self._row(monotonic())  # one that was alone has told none for long, and would pass for silent
         return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
                 will(self.discovery.version or 0, infos, self.backends.addresses(),
                      self.gateway.estate(self.clock()), (g.config.document for g in self.generations.kept),
@@ -415,16 +417,22 @@
             return  # alone: nobody to tell
         for name in members.look(now):
             log.info("%s: process %s is gone", self.config.name, name)
-        held = len(self.clients.connections), self.backends.sockets
-        row = members.beat(now, held, True, self.ending, self.generations.current.number, self.budget.used())
+        row = self._row(now)
         self.handover.tell({"row": row.written(), "own": True})
-        self.handover.tell({"held": [*held, row.memory]})  # to a build that keeps no view
+        self.handover.tell({"held": [*row.held, row.memory]})  # to a build that keeps no view
+        # Danger: what is spent goes over every link, and over a second one to the same process it counts twice.
         named = {link.name for link in links}
         for other in members.rows.values():
-            if other.order < members.me.order and other.name not in named and now - other.at > LINK_LOST:
+            if (other.order < members.me.order and not named & {other.name, ""}
+                    and now - other.at > LINK_LOST):
                 self.handover.dial(other.name)
         self._apply(now)
 
+    def _row(self, now: float) -> Row:
+        assert self.members is not None
+        held = len(self.clients.connections), self.backends.sockets
+        return self.members.beat(now, held, True, self.ending, self.generations.current.number, self.budget.used())
+
     def _apply(self, now: float) -> None:
         """Acts by the view: who accepts, and what each may hold."""
         assert self.members is not None
@@ -436,10 +444,14 @@
 
     def _told_row(self, link: Link, source: Mapping[str, Any], own: bool) -> None:
         row = read_row(source)
-        if own:
-            link.name = row.name
         if self.members is None or self.handover is None:
             return
+        if own and not link.name:
+            link.name = row.name
+            if not link.after and any(
+                    other.name == row.name for other in self.handover.links if other is not link):
+                link.close()  # there is one already
+                return
         new = row.name not in self.members.rows
         if not self.members.heard(row):
             return
--- a/mulleinhall/registry/store.py
+++ b/mulleinhall/registry/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import hashlib
 import json
@@ -11,13 +12,15 @@
 import sqlite3
 import time
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
+from urllib.parse import quote
 
 from mulleinhall.registry.board import Row
 
 log = logging.getLogger(__name__)
 
+SCHEMA = 1  # of the tables; a store of a higher one belongs to a later service, and 0 is from before they were counted
 AHEAD = 100_000  # versions that a bound reaches ahead: it is written once for so many
 FILES = ("", "-wal", "-shm")
 
@@ -30,6 +33,58 @@
     """What is stored is not what was written."""
 
 
+class Newer(CannotOpen):
+    """A later service has written it."""
+
+
+@contextlib.contextmanager
+def open_to_read(path: Path) -> Iterator[sqlite3.Connection]:
+    """A store that is not changed by it; what a service writes meanwhile is not seen."""
+    if not path.is_file():
+        raise CannotOpen(f"{path}: no such file")
+    base = sqlite3.connect(f"file:{quote(str(path.absolute()))}?mode=ro", uri=True, timeout=1.0)
+    try:
+        yield base
+    finally:
+        base.close()
+
+
+def check_schema(base: sqlite3.Connection) -> int:
+    [[schema]] = base.execute("PRAGMA user_version").fetchall()
+    if schema > SCHEMA:
+        raise Newer(f"it is of schema {schema}, and this service knows {SCHEMA}: it is left as it is")
+    return int(schema)
+
+
+def read_name(base: sqlite3.Connection) -> tuple[str, int, int]:
+    """Its name, its version and how many entries it has; Damaged if that is not what was written."""
+    meta = dict(base.execute("SELECT key, value FROM meta"))
+    version, _, found = meta.get("version", "").partition(" ")
+    if not version.isdecimal() or found != _sum("version", int(version)):
+        raise Damaged("the version is not what was written")
+    return meta.get("name", ""), int(version), base.execute("SELECT count(*) FROM entries").fetchone()[0]
+
+
+def faults_of(path: Path) -> Iterator[str]:
+    """Every fault of a store's file: its structure, its version, each entry."""
+    try:
+        with open_to_read(path) as base:
+            check_schema(base)
+            for [found] in base.execute("PRAGMA integrity_check"):
+                if found != "ok":
+                    yield f"structure: {found}"
+            try:
+                _, given, _ = read_name(base)
+            except Damaged as error:
+                yield str(error)
+                given = 1 << 63
+            for name, text, changed, found in base.execute("SELECT id, row, version, sum FROM entries ORDER BY id"):
+                if found != _sum(text, changed) or not 0 < changed <= given:
+                    yield f"entry {name!r} is not what was written"
+    except (sqlite3.Error, CannotOpen, ValueError, TypeError) as error:
+        yield str(error)
+
+
 def _sum(text: str, version: int) -> str:
     return hashlib.sha256(f"{version} {text}".encode()).hexdigest()
 
@@ -62,7 +117,7 @@
                 self._open()
             except (sqlite3.DatabaseError, Damaged, KeyError, ValueError) as error:
                 if isinstance(error, sqlite3.OperationalError):
-                    raise
+                    raise  # the disk, not what is on it
                 self._set_aside(error)
                 self._open()
             if not self.given or restore is not None:
@@ -71,8 +126,10 @@
         except (sqlite3.Error, OSError) as error:
             self.close()
             raise CannotOpen(f"{folder}: {error}") from error
-        except CannotOpen:
+        except CannotOpen as error:
             self.close()
+            if isinstance(error, Newer):
+                raise CannotOpen(f"{self.path}: {error}") from None
             raise
 
     # Opening
@@ -82,12 +139,15 @@
         try:
             self.base.execute("PRAGMA journal_mode=WAL")
             self.base.execute("PRAGMA synchronous=FULL")
+            schema = check_schema(self.base)
             [[found]] = self.base.execute("PRAGMA integrity_check(1)").fetchall()
             if found != "ok":
                 raise Damaged(str(found))
             self.base.execute("CREATE TABLE IF NOT EXISTS meta (key TEXT PRIMARY KEY, value TEXT NOT NULL)")
             self.base.execute("CREATE TABLE IF NOT EXISTS entries (id TEXT PRIMARY KEY, row TEXT NOT NULL, "
                               "version INTEGER NOT NULL, sum TEXT NOT NULL)")
+            if schema < SCHEMA:
+                self.base.execute(f"PRAGMA user_version = {SCHEMA}")
             self._read()
         except BaseException:
             self.base.close()
@@ -124,7 +184,7 @@
             self._open()
             self.base.execute("PRAGMA wal_checkpoint(TRUNCATE)")
             self.base.close()
-        except (sqlite3.DatabaseError, Damaged, KeyError, ValueError) as error:
+        except (sqlite3.DatabaseError, Damaged, Newer, KeyError, ValueError) as error:
             raise CannotOpen(f"{copy}: {error}") from error
         finally:
             self.path = real
@@ -147,10 +207,20 @@
                   error, self.path, mark)
 
     def _read_bound(self) -> int:
+        """0 where there is none.  One that is not what was written is said, and set aside: the store tells more."""
         try:
-            return int(self.bound_path.read_text(encoding="ascii"))
-        except (FileNotFoundError, ValueError):
+            text = self.bound_path.read_text(encoding="ascii")
+        except FileNotFoundError:
             return 0
+        except ValueError:
+            text = ""
+        bound, _, found = text.partition(" ")
+        if bound.isdecimal() and (found == _sum("bound", int(bound)) or not found):  # earlier ones had no sum
+            return int(bound)
+        kept = self.bound_path.with_name(f"bound.damaged-{time.time_ns()}")
+        self.bound_path.rename(kept)
+        log.error("the bound of versions was damaged: set aside as %s", kept)
+        return 0
 
     def _reach(self, version: int) -> None:
         """Before a version beyond the bound is given, a higher bound is on disk."""
@@ -158,7 +228,7 @@
             return
         bound, other = version + AHEAD, self.bound_path.with_suffix(".new")
         with other.open("w", encoding="ascii") as file:
-            file.write(str(bound))
+            file.write(f"{bound} {_sum('bound', bound)}")
             file.flush()
             os.fsync(file.fileno())
         other.rename(self.bound_path)
--- a/tests/test_net_members.py
+++ b/tests/test_net_members.py
@@ -19,7 +19,7 @@
 
 from mulleinhall.net.presence import Presence, started
 from tests.peers import STARTED, Address, Caller, Peer, backend, command, config_text, entry, resp, until
-from tests.test_net_handover import fleet, process, where
+from tests.test_net_handover import SEVEN, SMALL, fleet, process, where
 from tests.test_net_restart import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -254,6 +254,33 @@
     run(body())
 
 
+def test_what_is_spent_at_one_counts_once_at_the_other(tmp_path: Path) -> None:
+    """Found on an upgrade day: the row of a process that had been alone was old, so that it passed for lost and was
+    reached by a second link; all that it spent counted twice, and customers were refused inside their quotas."""
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(fleet(peer, settings=SMALL), path) as (first, _):
+            kept = await Caller.to(where(first))
+            await asyncio.sleep(0.5)  # alone, it tells nobody
+            async with process(fleet(peer, settings=SMALL), path) as (second, _):
+                await until(lambda: first.successor)
+                await asyncio.sleep(0.6)  # longer than a link may be silent
+                assert first.handover and second.handover
+                assert len(first.handover.links) == len(second.handover.links) == 1
+                assert second.members and not second.members.silent(time.monotonic())
+                assert await kept.ask(command("1")) == b"1"
+                await until(lambda: SEVEN in second.gateway.customers)
+                await asyncio.sleep(0.1)
+                assert 2.9 < second.gateway.customers[SEVEN].slice.level < 3.1  # 4, less one
+                two = next(iter(second.handover.links))
+                two.after = False
+                second.handover.dial(first.handover.presence.name)
+                await until(lambda: second.handover and not second.handover.dialling)
+                await until(lambda: second.handover and len(second.handover.links) == 1)
+
+    run(body())
+
+
 def test_what_a_crash_left_names_nobody_even_if_its_process_id_is_used_again(tmp_path: Path) -> None:
     path = tmp_path / "there"
     presence = Presence(path)
