--- a/mulleinhall/emulator/results.py
+++ b/mulleinhall/emulator/results.py
@@ -24,6 +24,7 @@
     """One folder of results of one experiment."""
 
     def __init__(self, folder: Path, experiment: Experiment) -> None:
+        folder = folder.resolve()  # plays run in the folders of their versions
         self.folder, self.path = folder, folder / PLAYS
         folder.mkdir(parents=True, exist_ok=True)
         (folder / EXPERIMENT).write_text(to_toml(experiment), encoding="utf-8")
--- a/tests/test_mothdrift.py
+++ b/tests/test_mothdrift.py
@@ -157,6 +157,15 @@
     assert lay_out("HEAD", tmp_path) == tree
 
 
+def test_a_revision_is_played_from_its_own_folder_wherever_the_results_lie(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    write(tmp_path, seeds=[1], versions=[{"name": "head", "revision": "HEAD"}, {"name": "now"}])
+    monkeypatch.chdir(tmp_path)
+    found = mothdrift("experiment", "small.toml", "--to", "out", "--quiet")
+    assert found.exit_code == 0, found.output
+    assert {row["version"] for row in read_plays(tmp_path / "out" / PLAYS)} == {"head", "now"}
+
+
 def test_a_play_that_fails_is_told_with_its_last_words(tmp_path: Path) -> None:
     path = write(tmp_path, versions=[{"name": "old", "revision": "nowhere"}])
     assert mothdrift("experiment", str(path), "--to", str(tmp_path / "out"), "--quiet").exit_code == 2
