Put changes of the list within a period into one version in the emulator

Seen: 3,000 servers before 200 gateways did not end within 200 s. Cause: each change was told alone, and every gateway sorts all servers at each (Board._publish, Fleet.prefer): 1,000 changes of a lost zone are 200,000 sorts. Discovery tells by period.

--- a/mulleinhall/emulator/listing.py
+++ b/mulleinhall/emulator/listing.py
@@ -9,6 +9,8 @@
 from mulleinhall.emulator.kernel import Clock, Draws
 from mulleinhall.interface import Backend, BackendsChanged, ListKind, Readiness
 
+PERIOD = 0.2  # s within which changes make one version
+
 
 class Listener(Protocol):
     def listed(self, event: BackendsChanged) -> None: ...
@@ -22,6 +24,7 @@
         self.entries = {entry.id: entry for entry in entries}
         self.version, self.down_until = 1, 0.0
         self.listeners: list[Listener] = []
+        self._news: dict[str, Backend] = {}  # learned since the last version
         self._told: dict[int, float] = {}  # when the last change reaches each: changes come in order
 
     def learn(self, delay: tuple[float, float], entry: Backend, still: Callable[[], bool]) -> None:
@@ -34,13 +37,21 @@
             return
         if not still():
             return
+        if not self._news:
+            self.kernel.after(PERIOD, self._flush)
+        self._news[entry.id] = entry
+
+    def _flush(self) -> None:
+        """What was learned within a period is one version."""
+        news, self._news = tuple(self._news.values()), {}
         self.version += 1
-        if entry.readiness is Readiness.GONE:
-            self.entries.pop(entry.id, None)
-        else:
-            self.entries[entry.id] = entry
+        for entry in news:
+            if entry.readiness is Readiness.GONE:
+                self.entries.pop(entry.id, None)
+            else:
+                self.entries[entry.id] = entry
         for number, listener in enumerate(self.listeners):
-            self._tell(number, listener, BackendsChanged(ListKind.UPDATE, (entry,), self.version))
+            self._tell(number, listener, BackendsChanged(ListKind.UPDATE, news, self.version))
 
     def ask(self, number: int, listener: Listener) -> None:
         """A gateway that has started asks for the whole list."""
