Tell totals of what is spent, so that each unit counts once

Seen: three processes of one ingress, links in a ring as after a stopped middle is back: one request of 1 unit gave 'HEARD [4250]' words at the second within 0.5 s and the customer's bucket of 4 at '[0.0, 0.0, 0.0]'. Checked and ruled out: a second link between the same two. Lines at fault: Ingress.heard passed every 'spent' and 'drain' on to each link but its own; that ends only in a tree. Change: net/ledger.py, words with totals and their owner; no news is not passed on; after a lost link totals are told once; attempts of a process that is gone are let go; the latest drain call holds. Builds that tell steps are understood and understand.

--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -16,6 +16,7 @@
 
 import mulleinhall.interface as api
 from mulleinhall.net.discovery import Listing
+from mulleinhall.net.ledger import Word
 from mulleinhall.net.members import Row, read_row
 from mulleinhall.net.presence import Presence, reached
 
@@ -47,6 +48,7 @@
                 name: (host, port) for name, (host, port) in message["addresses"].items()})
             self.estate = read_estate(message["estate"], message["form"])
             self.documents: list[Mapping[str, Any]] = message.get("documents", [])
+            self.words: list[list[Any]] = message.get("ledger", [])
             # Of the one before; a build that kept no membership has none.
             self.row: Row | None = read_row(message["row"]) if message.get("row") else None
         except (KeyError, TypeError, ValueError) as error:
@@ -75,9 +77,12 @@
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
-         estate: api.Estate, documents: Iterable[Mapping[str, Any]], row: Row | None = None) -> dict[str, Any]:
-    """The first message to a process that takes over.  `documents`: generations, the present one last."""
+         estate: api.Estate, documents: Iterable[Mapping[str, Any]], row: Row | None = None,
+         words: Sequence[Word] = ()) -> dict[str, Any]:
+    """The first message to a process that takes over.  `documents`: generations, the present one last;
+    `words`: of the ledger, what the buckets of `estate` have counted."""
     return {
+        "ledger": list(words),
         "row": row.written() if row is not None else None,
         "form": FORM, "documents": list(documents), "version": version, "addresses": addresses,
         "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
@@ -126,6 +131,9 @@
 
     def twins_changed(self) -> None: ...
 
+    def link_made(self, link: Link) -> None:
+        """Between two processes that had met before."""
+
     def link_lost(self, link: Link) -> None: ...
 
     def heard(self, link: Link, message: Mapping[str, Any]) -> None: ...
@@ -134,9 +142,9 @@
 class Link(asyncio.Protocol):
     """A connection to another process of this ingress: one line of JSON a message."""
 
-    def __init__(self, handover: Handover, after: bool, heir: bool = False) -> None:
-        """`after`: the other one came after this; `heir`: and takes over from it."""
-        self.handover, self.after, self.heir = handover, after, heir
+    def __init__(self, handover: Handover, after: bool, heir: bool = False, again: bool = False) -> None:
+        """`after`: the other one came after this; `heir`: and takes over from it; `again`: they had met before."""
+        self.handover, self.after, self.heir, self.again = handover, after, heir, again
         self.name = ""  # of the other, once it has told
         self.transport: asyncio.Transport | None = None
         self.rest = b""
@@ -154,6 +162,8 @@
             self.tell(will)
         self.handover.links.add(self)
         owner.twins_changed()
+        if self.again:
+            owner.link_made(self)
 
     def _pass_on(self, listener: socket.socket) -> None:
         """Sends the socket beside a blank that the reader of the first line skips."""
@@ -206,7 +216,8 @@
         if sock is None:
             log.warning("other processes of this ingress can't reach this one")
             return
-        self.peers = await self.loop.create_unix_server(lambda: Link(self, after=True), sock=sock)
+        self.peers = await self.loop.create_unix_server(
+            lambda: Link(self, after=True, again=True), sock=sock)
 
     def dial(self, name: str) -> None:
         """Reaches another process to which the link is lost, once at a time."""
@@ -221,7 +232,8 @@
         try:
             with reached(self.presence.place(name)) as place:
                 await self.loop.sock_connect(sock, place)
-            await self.loop.create_unix_connection(lambda: Link(self, after=False), sock=sock)
+            await self.loop.create_unix_connection(
+                lambda: Link(self, after=False, again=True), sock=sock)
         except OSError as error:
             log.info("process %s is not reached: %s", name, error)
             sock.close()
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -31,6 +31,7 @@
 from mulleinhall.net.figures import End, Figures
 from mulleinhall.net.generations import MOST_SHOWN, Generations
 from mulleinhall.net.handover import Handover, Link, Taken, will
+from mulleinhall.net.ledger import Ledger, Word
 from mulleinhall.net.logs import REQUESTS
 from mulleinhall.net.members import BEAT, NONE, Members, Row, read_row
 from mulleinhall.net.presence import Presence
@@ -128,6 +129,8 @@
         self._secure(config)
         self.taken = taken
         self.handover = None if path is None else Handover(path, self)
+        self.ledger = Ledger(self.handover.presence.name if self.handover is not None else "")
+        self.drain_told = 0.0  # when the call was made that holds (monotonic): an older one changes nothing
         self.members: Members | None = None
         self.teller: asyncio.TimerHandle | None = None
         self.listening: asyncio.Task[None] | None = None  # for the next process, after one that is gone
@@ -142,6 +145,7 @@
         if self.taken is not None:
             self.listed(api.ListKind.RESTORED, self.taken.listing)
             self.feed(self.taken.estate)
+            self.ledger.begin(self.taken.words)
             self._join(self.taken.documents)
         self.clients.open()
         if self.control is not None:
@@ -340,7 +344,9 @@
                                            | self._expiry())
                 return "\n".join([*lines, "eof"])
             case "show-members" if self.members is not None:
-                return "\n".join([*self.members.lines(monotonic()), "eof"])
+                ledger = self.ledger
+                words = f"words: {ledger.told} told, {ledger.heard} heard, {ledger.known} of them known already"
+                return "\n".join([*self.members.lines(monotonic()), words, "eof"])
             case "show-config":
                 return "\n".join([*self.generations.lines(), "eof"])
             case "revert":
@@ -352,22 +358,29 @@
                 return "ok"
         return "fail unknown call"
 
-    def _drain_all(self, on: bool, but: Link | None = None) -> None:
+    def _drain_all(self, on: bool, at: float | None = None, but: Link | None = None) -> None:
+        """The latest call holds, by whatever way and however often it is told."""
+        at = monotonic() if at is None else at
+        if at <= self.drain_told:
+            return
+        self.drain_told = at
         self.feed(api.Drain(on))
         if self.handover is not None:
-            self.handover.tell({"drain": on}, but)
+            self.handover.tell({"drain": on, "at": at}, but)
 
     # Other processes of this ingress
 
     def last_will(self) -> tuple[socket.socket | None, dict[str, Any]]:
         """What one that comes after this must have."""
         infos = [s.info for s in self.gateway.fleet.servers.values()]
+        estate = self.gateway.estate(self.clock())
+        self.ledger.base({c.customer: (c.plan, c.spread, c.out) for c in estate.customers})
         if self.members is not None:
             self._row(monotonic())  # one that was alone has told none for long, and would pass for silent
         return (self.clients.listener if self.clients.listener.fileno() >= 0 else None,
                 will(self.discovery.version or 0, infos, self.backends.addresses(),
-                     self.gateway.estate(self.clock()), (g.config.document for g in self.generations.kept),
-                     self.members.me if self.members else None))
+                     estate, (g.config.document for g in self.generations.kept),
+                     self.members.me if self.members else None, self.ledger.written()))
 
     def twins_changed(self) -> None:
         assert self.handover is not None
@@ -381,12 +394,26 @@
         self.feed(api.Twins(max(others, len(self.handover.links)), self.successor is not None))
         self._divide()
 
+    def link_made(self, link: Link) -> None:
+        """What was told while there was none."""
+        for word in self.ledger.words():
+            link.tell({"spent": [*word[2:5], 0.0, False, 0, "", 0.0], "total": word})
+        if self.drain_told:
+            link.tell({"drain": self.gateway.called, "at": self.drain_told})
+
     def link_lost(self, link: Link) -> None:
         self.agreement.lost(link)
         if self.members is not None:
-            self.members.look(monotonic())
+            self._look(self.members, monotonic())
         self.twins_changed()
 
+    def _look(self, members: Members, now: float) -> None:
+        """Who is gone has nothing out any more."""
+        for name in members.look(now):
+            log.info("%s: process %s is gone", self.config.name, name)
+            for spent in self.ledger.ends(name):
+                self.feed(spent)
+
     def _membership(self, presence: Presence) -> Members:
         """The view of a process that has just come.  After one that keeps a view it starts with nothing, and is
         given what the others do not need; after another build it counts on what that one says that it holds."""
@@ -414,9 +441,9 @@
         self.teller = self.loop.call_later(BEAT, self._beat)
         links, members, now = self.handover.links, self.members, monotonic()
         if not links and not members.rows:
+            self.ledger.clear()
             return  # alone: nobody to tell
-        for name in members.look(now):
-            log.info("%s: process %s is gone", self.config.name, name)
+        self._look(members, now)
         row = self._row(now)
         self.handover.tell({"row": row.written(), "own": True})
         self.handover.tell({"held": [*row.held, row.memory]})  # to a build that keeps no view
@@ -469,12 +496,18 @@
                 self.clients.accept(False)
                 log.info("%s: another process takes over", self.config.name)
                 self.twins_changed()
-            case {"spent": row}:
-                self.feed(api.Spent(*row))
-                if self.handover is not None:
-                    self.handover.tell(message, link)
-            case {"drain": on}:
-                self._drain_all(bool(on), link)
+            case {"spent": _, "total": word}:
+                for spent in self.ledger.hear(word):
+                    self.feed(spent)
+                    self._tell_spent(spent, word, link)
+            case {"spent": row}:  # of a build that tells steps: they count as this one's
+                spent = api.Spent(*row)
+                self.feed(spent)
+                self._tell_spent(spent, self.ledger.spend(spent), link)
+            case {"drain": on, "at": at}:
+                self._drain_all(bool(on), float(at), link)
+            case {"drain": on} if bool(on) is not self.gateway.called:
+                self._drain_all(bool(on), but=link)
             case {"change": step}:
                 self.agreement.heard(link, step)
             case {"row": row, "own": own}:
@@ -483,6 +516,11 @@
                 link.held = tuple(row)
                 self._divide()
 
+    def _tell_spent(self, spent: api.Spent, word: Word, but: Link | None = None) -> None:
+        """A build that keeps no ledger reads the step alone."""
+        if self.handover is not None:
+            self.handover.tell({"spent": astuple(spent), "total": word}, but)
+
     def _divide(self) -> None:
         """What all processes may hold together is what one alone may."""
         rows = list(self.members.rows.values()) if self.members is not None else []
@@ -715,7 +753,7 @@
             case api.Log(text=text):
                 log.info("%s", text)
             case api.TellTwins(spent=spent) if self.handover is not None:
-                self.handover.tell({"spent": astuple(spent)})
+                self._tell_spent(spent, self.ledger.spend(spent))
             case api.Welcome(on=on):
                 self.clients.welcome = on
                 log.info("%s %s", self.config.name, "takes requests" if on else "drains")
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,125 @@
+"""What processes of one ingress tell each other of their spending, with no sockets: lost, doubled, late."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import mulleinhall.net.ledger as ledger_module
+from mulleinhall.interface import Spent
+from mulleinhall.net.ledger import Ledger, Word
+
+
+class Side:
+    """A process: its ledger, and what its buckets have counted."""
+
+    def __init__(self, name: str) -> None:
+        self.ledger = Ledger(name)
+        self.units: dict[str, float] = {}
+        self.inside: dict[str, float] = {}
+        self.out: dict[str, int] = {}
+        self.work: dict[str, float] = {}
+
+    def count(self, spent: Spent) -> None:
+        self.units[spent.customer] = self.units.get(spent.customer, 0.0) + spent.units
+        self.inside[spent.customer] = self.inside.get(spent.customer, 0.0) + spent.units * spent.inside
+        self.out[spent.customer] = self.out.get(spent.customer, 0) + spent.out
+        if spent.work:
+            self.work[spent.backend] = self.work.get(spent.backend, 0.0) + spent.work
+
+    def spend(self, spent: Spent) -> Word:
+        self.count(spent)
+        return self.ledger.spend(spent)
+
+    def hear(self, word: Word) -> bool:
+        news = self.ledger.hear(word)
+        for spent in news:
+            self.count(spent)
+        return bool(news)
+
+
+STEP = st.tuples(st.integers(0, 2), st.integers(0, 3), st.sampled_from([0.0, 1.0, 2.5]), st.booleans(),
+                 st.sampled_from([-1, 0, 1]), st.sampled_from(["", "", "s1", "s2"]))
+
+
+@settings(max_examples=300, deadline=None)
+@given(steps=st.lists(STEP, max_size=40), order=st.randoms(use_true_random=False))
+def test_each_unit_counts_once_at_each_whatever_is_lost_doubled_or_late(
+        steps: list[tuple[int, int, float, bool, int, str]], order: random.Random) -> None:
+    sides = [Side(f"p{n}") for n in range(3)]
+    told: list[Word] = []
+    for who, customer, units, inside, out, backend in steps:
+        told.append(sides[who].spend(Spent(f"c{customer}", "basic", 1, units, inside and units > 0, out, backend,
+                                           0.5 if backend else 0.0)))
+    some = [word for word in told if order.random() < 0.6] * 2
+    order.shuffle(some)
+    for word in some:
+        for side in sides:
+            side.hear(word)
+    for _ in range(2):  # links made anew, in a ring: all comes to all
+        for one, other in ((0, 1), (1, 2), (2, 0)):
+            for word in list(sides[one].ledger.words()):
+                sides[other].hear(word)
+    for side in sides[1:]:
+        for mine, first in ((side.units, sides[0].units), (side.inside, sides[0].inside), (side.out, sides[0].out),
+                            (side.work, sides[0].work)):
+            assert {k: round(v, 6) for k, v in mine.items() if v} == {k: round(v, 6) for k, v in first.items() if v}
+
+
+def test_a_word_that_went_round_is_news_to_nobody() -> None:
+    one, two, three = Side("p1"), Side("p2"), Side("p3")
+    word = one.spend(Spent("c", "basic", 1, 1.0, True, 1))
+    assert two.hear(word) and three.hear(word)
+    assert not two.hear(word) and not three.hear(word) and not one.hear(word)
+    assert two.units == three.units == {"c": 1.0} and two.ledger.known == 1
+
+
+def test_a_newcomer_counts_from_what_it_was_given() -> None:
+    old, new = Side("p1"), Side("p2")
+    word = old.spend(Spent("c", "basic", 1, 3.0, True, 1))
+    old.ledger.base({"c": ("basic", 1, 1), "d": ("basic", 1, 2)})  # d's attempts began when nobody else was there
+    new.ledger.begin(old.ledger.written())
+    assert not new.hear(word)  # it is in the buckets that it was given
+    assert new.hear(old.spend(Spent("c", "basic", 1, 2.0, True, 0))) and new.units == {"c": 2.0}
+    new.hear(old.spend(Spent("d", "basic", 1, out=-1)))
+    assert new.out["d"] == -1
+    assert {s.customer: s.out for s in new.ledger.ends("p1")} == {"c": -1, "d": -1}
+
+
+def test_what_the_gone_had_out_is_over_and_what_it_spent_still_counts() -> None:
+    old, new = Side("p1"), Side("p2")
+    new.hear(old.spend(Spent("c", "basic", 1, 1.0, True, 1)))
+    late = old.spend(Spent("c", "basic", 1, 1.0, True, 1))
+    for spent in new.ledger.ends("p1"):
+        new.count(spent)
+    assert new.ledger.ends("p1") == []
+    assert new.hear(late)  # by way of another
+    assert new.units == {"c": 2.0} and new.out == {"c": 0}
+
+
+def test_books_are_let_go_of_and_what_is_out_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ledger_module, "MOST_LINES", 4)
+    old, new = Side("p1"), Side("p2")
+    words = [old.spend(Spent(f"c{n}", "basic", 1, 1.0, True, 1)) for n in range(20)]
+    for word in words:
+        new.hear(word)
+    assert sum(new.units.values()) == 20.0
+    assert [len(side.ledger.books["p1"]) for side in (old, new)] == [2, 2]
+    assert len(list(new.ledger.words())) <= 8
+    assert not new.hear(words[0])  # of a book that is closed: it counted once
+    assert sum(new.units.values()) == 20.0
+    for n in range(20):
+        new.hear(old.spend(Spent(f"c{n}", "basic", 1, out=-1)))
+    assert set(new.out.values()) == {0} and new.ledger.ends("p1") == []
+
+
+@pytest.mark.parametrize("word", [
+    [], ["p1", 0], ["p1", 0, "c", "basic", 1, 1.0, 2.0, 0, 0, "", 0.0],
+    ["p1", 0, "c", "basic", 1, -1.0, 0, 0, 0, "", 0.0],
+    ["p1", 0, "c", "basic", 1, float("nan"), 0.0, 0, 0, "", 0.0], ["p1", "x", "c", "basic", 1, 0, 0, 0, 0, "", 0.0]])
+def test_what_is_no_word_is_refused(word: list[object]) -> None:
+    with pytest.raises((ValueError, TypeError)):
+        Ledger("p2").hear(word)
--- a/tests/test_net_members.py
+++ b/tests/test_net_members.py
@@ -281,6 +281,85 @@
     run(body())
 
 
+def test_links_that_form_a_ring_count_each_unit_once_and_pass_each_word_on_once(tmp_path: Path) -> None:
+    """Found by a probe: one request was told 4,250 times in 0.5 s, and its customer's bucket was empty at all."""
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(fleet(peer, settings=SMALL), path) as (first, _):
+            kept = await Caller.to(where(first))
+            async with process(fleet(peer, settings=SMALL), path) as (second, _), process(
+                    fleet(peer, settings=SMALL), path) as (third, _):
+                await until(lambda: first.successor and second.successor)
+                assert first.handover and third.handover
+                third.handover.dial(first.handover.presence.name)  # as when the one between was stopped
+                await until(lambda: first.handover and len(first.handover.links) == 2)
+                await until(lambda: third.handover and len(third.handover.links) == 2)
+                assert await kept.ask(command("1")) == b"1"
+                await until(lambda: all(SEVEN in one.gateway.customers for one in (second, third)))
+                await asyncio.sleep(0.3)
+                for one in (first, second, third):
+                    assert 2.9 < one.gateway.customers[SEVEN].slice.level < 3.1  # 4, less one
+                    assert one.gateway.customers[SEVEN].elsewhere == 0
+                assert second.ledger.heard <= 4 and third.ledger.heard <= 4  # begun and ended, by two ways
+                first._drain_all(True)
+                await until(lambda: second.gateway.called and third.gateway.called)
+                third._drain_all(False)
+                await until(lambda: not first.gateway.called and not second.gateway.called)
+                await asyncio.sleep(0.1)
+                assert not any(one.gateway.called for one in (first, second, third))
+
+    run(body())
+
+
+def test_what_is_spent_while_the_link_is_lost_is_told_when_it_is_back(tmp_path: Path) -> None:
+    async def body() -> None:
+        path = tmp_path / "there"
+        async with backend() as peer, process(fleet(peer, settings=SMALL), path) as (first, _):
+            kept = await Caller.to(where(first))
+            async with process(fleet(peer, settings=SMALL), path) as (second, _):
+                await until(lambda: first.successor)
+                assert first.handover and second.handover
+                assert await kept.ask(command("1")) == b"1"
+                await until(lambda: SEVEN in second.gateway.customers)
+                for link in list(first.handover.links):
+                    link.transport.abort()  # type: ignore[union-attr]
+                assert await kept.ask(command("2")) == b"2"  # before the loop has even seen the end
+                await until(lambda: first.handover and first.handover.links)
+                await until(lambda: second.gateway.customers[SEVEN].slice.level < 2.1)
+                await asyncio.sleep(0.1)
+                assert 1.9 < second.gateway.customers[SEVEN].slice.level < 2.1
+                assert second.gateway.customers[SEVEN].elsewhere == 0
+
+    run(body())
+
+
+def test_the_middle_of_a_chain_stopped_and_back_counts_nothing_twice(tmp_path: Path) -> None:
+    """The youngest reaches the eldest meanwhile, and with the one that is back the links form a ring."""
+    async def body() -> None:
+        async with ingress(tmp_path, 3) as (there, started_ones):
+            (_, one), (middle, two), (_, three) = started_ones
+            await settled([one, two, three], 3)
+            middle.send_signal(signal.SIGSTOP)
+            while sum(" silent" in row for row in await members(three)) != 1:  # it has reached the eldest
+                await asyncio.sleep(0.05)
+            middle.send_signal(signal.SIGCONT)
+            await settled([one, two, three], 3)
+            before = await words(two)
+            caller = await Caller.to(there.address)
+            for number in range(5):
+                assert await caller.ask(command(customer=number)) == b"00000000000000aa"
+            await asyncio.sleep(0.5)
+            assert 10 <= await words(two) - before <= 40  # two for each request, by two or three ways
+
+    run(body())
+
+
+async def words(control: Address) -> int:
+    found = re.search(r"words: \d+ told, (\d+) heard", await ask(control, "show-members"))
+    assert found is not None
+    return int(found[1])
+
+
 def test_what_a_crash_left_names_nobody_even_if_its_process_id_is_used_again(tmp_path: Path) -> None:
     path = tmp_path / "there"
     presence = Presence(path)
