--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -265,10 +265,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Twins:
-    """How many other processes of this gateway live; `successor`: one of them takes the new connections."""
+    """How many other processes of this gateway live; `successor`: one of them takes the new connections;
+    `kept`: what is spent is kept for the process that comes after a crash, and so told even if there is none."""
 
     count: int
     successor: bool = False
+    kept: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,7 +338,7 @@
 @dataclass(frozen=True, slots=True)
 class Estate:
     """All that a process hands to the one that takes its place.  `fresh`: what the ceiling of a customer not
-    seen yet holds, by plan; where it is not told, it has filled since `born`."""
+    seen yet holds, by plan; where it is not told, it has filled since `born`.  `since`: as in `Unknown`."""
 
     born: float
     draining: bool
@@ -346,6 +348,15 @@
     customers: tuple[CustomerState, ...]
     backends: tuple[BackendState, ...]
     fresh: Mapping[str, float] = field(default_factory=dict)
+    since: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Nobody knows what was spent before `since` (s, the module's clock): a bucket of a customer that is not told
+    of holds no more than has refilled since then."""
+
+    since: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -469,7 +480,7 @@
 
 
 Event: TypeAlias = (BackendsChanged | SettingsChanged | Request | UploadStarted | Uploaded | StreamStarted
-                    | AttemptEnded | Abandoned | Timer | Drain | Twins | Spent | Estate | ProbeEnded
+                    | AttemptEnded | Abandoned | Timer | Drain | Twins | Spent | Estate | Unknown | ProbeEnded
                     | PeerMessage | CounterReply)
 Action: TypeAlias = (Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeers | Count
                      | Subscribe | FetchBackends | Welcome | LetGo | TellTwins | Log)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -10,6 +10,7 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
 from math import exp
 from zlib import crc32
 
@@ -69,12 +70,14 @@
 class Customer:
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
-    def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, fresh: float) -> None:
-        """`fresh`: what the whole ceiling holds for a customer not seen yet."""
+    def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, fresh: float,
+                 age: float) -> None:
+        """`fresh`: what the whole ceiling holds for a customer not seen yet; `age`: s for which it has spent
+        nothing."""
         self.name, self.plan, self.spread, self.seen = name, plan, spread, now
         self.most = most
         rate, burst = self.sizes()
-        self.slice = Bucket(rate, burst, burst, now)
+        self.slice = Bucket(rate, burst, min(burst, rate * age) if rate else burst, now)
         self.ceiling = Bucket(plan.ceiling_rate / spread, plan.ceiling_burst / spread, fresh / spread, now)
         self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
         self.open_limit = max(1, int(plan.open_limit / spread))
@@ -108,11 +111,14 @@
         a few requests refuses a customer that stays well inside its quota."""
         return self.plan.rate / self.spread, min(self.plan.burst, self.plan.burst / self.spread + self.most)
 
+    def untouched(self, now: float) -> bool:
+        """Whether its buckets are full, or hold nobody back."""
+        return ((not self.plan.rate or self.slice.fits(now, self.slice.cap))
+                and self.ceiling.fits(now, self.ceiling.cap))
+
     def idle(self, now: float) -> bool:
         """Whether it can be forgotten: a new one with full buckets would be the same."""
-        return (now - self.seen > IDLE and not self.open and not self.elsewhere
-                and (not self.plan.rate or self.slice.fits(now, self.slice.cap))  # else it holds nobody back
-                and self.ceiling.fits(now, self.ceiling.cap))
+        return now - self.seen > IDLE and not self.open and not self.elsewhere and self.untouched(now)
 
     def state(self, now: float) -> api.CustomerState:
         self.slice.fits(now, 0.0)
@@ -447,6 +453,7 @@
         self.jobs: dict[str, Job] = {}
         self.out: dict[tuple[str, int], tuple[Job, Server]] = {}
         self.born: float | None = None
+        self.since: float | None = None  # before this nobody knows what was spent
         self.asking = False
         self.retries = Bucket(0.0, 10.0, 1.0, 0.0)
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
@@ -504,6 +511,8 @@
                 self._spent(now, event)
             case api.Estate():
                 self._inherit(now, event)
+            case api.Unknown(since=since):
+                self.since = since
             case api.Abandoned(id=rid):
                 if job := self.jobs.pop(rid, None):
                     job.over = True
@@ -580,18 +589,24 @@
 
     # Upgrade: two processes for a while, which spend from the same buckets
 
-    def estate(self, now: float) -> api.Estate:
+    def customer_states(self, now: float, names: Iterable[str]) -> list[api.CustomerState]:
+        """Of those that are held back by anything: a new one would be equal to the others."""
+        found = (self.customers.get(name) for name in names)
+        return [c.state(now) for c in found if c is not None and not c.untouched(now)]
+
+    def estate(self, now: float, customers: bool = True) -> api.Estate:
         """What the process that takes this one's place must know."""
         fleet = self.fleet
         return api.Estate(now if self.born is None else self.born, self.called, fleet.typical, fleet.done,
-                          dict(fleet.means), tuple(c.state(now) for c in self.customers.values()),
+                          dict(fleet.means),
+                          tuple(c.state(now) for c in self.customers.values()) if customers else (),
                           tuple(s.state() for s in fleet.servers.values()),
-                          {name: self._fresh(now, name) for name in self.fresh})
+                          {name: self._fresh(now, name) for name in self.fresh}, self.since)
 
     def _inherit(self, now: float, estate: api.Estate) -> None:
         """Danger: a fresh process would hand out a second burst, and hold every ceiling to be empty."""
         fleet = self.fleet
-        self.born = estate.born
+        self.born, self.since = estate.born, estate.since
         self._begin(now, now - estate.born)
         for name, level in estate.fresh.items():
             if name in self.fresh:
@@ -651,7 +666,8 @@
             customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
             customer = self.customers[name] = Customer(
-                name, plan, spread, self.settings.most_units, now, self._fresh(now, plan.name))
+                name, plan, spread, self.settings.most_units, now, self._fresh(now, plan.name),
+                float("inf") if self.since is None else now - self.since)
         customer.seen = now
         return customer
 
@@ -721,7 +737,7 @@
         self.fleet.sends += 1.0
         self.fleet.held[job.id, number] = now + JAM * job.cls.aim, 1 / job.cls.aim
         self.out[job.id, number] = job, server
-        if self.twins.count:
+        if self.twins.count or self.twins.kept:
             work = self.fleet.work(job) if server.cold(now, self.settings) else 0.0
             self._tell(job.customer, 1, job.units if first else 0.0, job.inside, server.info.id, work)
         self.actions.append(api.Send(job.id, server.info.id, max(job.deadline - now, 1e-6)))
@@ -764,7 +780,7 @@
             return
         customer = job.customer
         customer.open -= 1
-        if self.twins.count:
+        if self.twins.count or self.twins.kept:
             self._tell(customer, -1)
         sent = server.out.pop((event.id, event.attempt), now)
         job.out.pop(event.attempt, None)
--- /dev/null
+++ b/mulleinhall/net/checkpoint.py
@@ -0,0 +1,268 @@
+"""What a process keeps on disk for the one that comes after a crash, and how that one reads it.
+
+In the operator's folder, for an ingress called NAME:
+
+- `NAME.lock`: held by the process that writes.
+- `NAME.token`: there since the first start.  Names the snapshot that belongs here; an old copy that was put back has
+  another.
+- `NAME.snapshot`: buckets, health and the list, whole or not there.
+- `NAME.log-N`: what was spent since.  A snapshot names the first log that goes with it.
+
+Each line of a file is a CRC-32, a blank and JSON.  Nothing is believed that does not fit together: then it is set
+aside, and the buckets hold what has refilled since a time at which nobody can have spent anything.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+from zlib import crc32
+
+import mulleinhall.interface as api
+from mulleinhall.logic import Gateway
+from mulleinhall.net.discovery import Listing
+from mulleinhall.net.handover import read_estate, read_list
+
+FORM = 1  # of the files
+MARK = 1.0  # s without a record after which a log says that its process lives
+FRESH = 5.0  # s after the last word of a log: until then it counts as whole; as long as a start may take
+HEALTH_AGE = 60.0  # s for which what was known of the servers' health is of use
+
+
+class Damaged(Exception):
+    """A file is not what was written; the text names it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """What the clocks say: `boot` counts s since the machine started, asleep or not; `boot_id` is another after
+    each start; `clock` is the module's, in Unix time."""
+
+    boot_id: str
+    boot: float
+    clock: float
+
+
+def read_times(clock: float) -> Times:
+    return Times(Path("/proc/sys/kernel/random/boot_id").read_text(encoding="ascii").strip(),
+                 time.clock_gettime(time.CLOCK_BOOTTIME), clock)
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a process begins with.  `events`: for the module, in this order; `why`: for the log."""
+
+    why: str
+    events: tuple[api.Event, ...] = ()
+    listing: Listing | None = None
+    log: int = 0  # number of the next log
+    count: int = 0  # of the last record
+    damaged: bool = False
+
+
+def line(source: Any) -> bytes:
+    text = json.dumps(source, separators=(",", ":")).encode()
+    return b"%08x %b\n" % (crc32(text), text)
+
+
+def lines(path: Path, data: bytes) -> Iterator[tuple[int, Any]]:
+    """Each line with its number; Damaged for one that is not what was written, or is not whole."""
+    *whole, rest = data.split(b"\n")
+    for number, text in enumerate(whole, 1):
+        if len(text) < 9 or text[:9] != b"%08x " % crc32(text[9:]):
+            raise Damaged(f"{path}: line {number} is not what was written")
+        yield number, json.loads(text[9:])
+    if rest:
+        raise Damaged(f"{path}: line {len(whole) + 1} is not whole")
+
+
+class Files:
+    """The files of one ingress in one folder.  What fails raises OSError with the file's name."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        safe = "".join(c if c.isalnum() or c in "-_" else f"%{ord(c):x}" for c in name)
+        self.folder, self.name = folder, name
+        self.lock, self.token, self.snapshot = (folder / f"{safe}.{kind}" for kind in ("lock", "token", "snapshot"))
+        self.safe = safe
+
+    def log(self, number: int) -> Path:
+        return self.folder / f"{self.safe}.log-{number}"
+
+    def logs(self) -> list[int]:
+        """Numbers of the logs that are there, in order."""
+        found = (entry.rpartition(".log-") for entry in os.listdir(self.folder))
+        return sorted(int(number) for name, _, number in found if name == self.safe and number.isdecimal())
+
+    def put(self, path: Path, pieces: Iterable[bytes]) -> None:
+        """In place of what is there, whole or not at all; on disk when it returns."""
+        draft = path.with_name(f"{path.name}.new")
+        with open(draft, "wb") as file:
+            for piece in pieces:
+                file.write(piece)
+            file.flush()
+            os.fsync(file.fileno())
+        os.rename(draft, path)
+        self.sync()
+
+    def sync(self) -> None:
+        handle = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def put_tokens(self, tokens: Sequence[str]) -> None:
+        self.put(self.token, [line({"tokens": list(tokens)})])
+
+    def read_tokens(self) -> list[str]:
+        for _, source in lines(self.token, self.token.read_bytes()):
+            return [str(token) for token in source["tokens"]]
+        raise Damaged(f"{self.token}: it is empty")
+
+    def set_aside(self) -> str:
+        """What can't be believed is kept for staff under other names; the mark that they end in."""
+        mark = f"damaged-{time.time_ns()}"
+        for path in (self.snapshot, self.token, *(self.log(number) for number in self.logs())):
+            with suppress(FileNotFoundError):
+                os.rename(path, path.with_name(f"{path.name}.{mark}"))
+        return mark
+
+    def forget(self) -> None:
+        """What is on disk holds no longer, and must not be believed."""
+        for path in (self.snapshot, *(self.log(number) for number in self.logs())):
+            path.unlink(missing_ok=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What NAME.snapshot holds.  `seen`: by customer, the last record that its buckets have counted."""
+
+    head: Mapping[str, Any]
+    estate: api.Estate
+    listing: Listing
+    seen: Mapping[str, int]
+
+
+def pack(head: Mapping[str, Any], rows: Iterable[bytes]) -> Iterator[bytes]:
+    """The pieces of a snapshot; the last line seals all before it."""
+    seal, count = sha256(), 0
+    for piece in (line(dict(head)), *rows):
+        seal.update(piece)
+        count += 1
+        yield piece
+    yield line({"sealed": seal.hexdigest(), "lines": count})
+
+
+def unpack(path: Path, data: bytes, name: str) -> Snapshot:
+    found = [source for _, source in lines(path, data)]
+    body = data[:data.rstrip(b"\n").rfind(b"\n") + 1]
+    if len(found) < 2 or found[-1] != {"sealed": sha256(body).hexdigest(), "lines": len(found) - 1}:
+        raise Damaged(f"{path}: it is not whole")
+    head = found[0]
+    if head.get("form") != FORM or head.get("name") != name:
+        raise Damaged(f"{path}: form {head.get('form')!r} of {head.get('name')!r}, not {FORM} of {name!r}")
+    states, seen = [], {}
+    for count, *state in (row for rows in found[1:-1] for row in rows):
+        states.append(state)
+        seen[state[0]] = count
+    estate = read_estate(dict(head["estate"]) | {"customers": states})
+    return Snapshot(head, estate, read_list(head["list"]), seen)
+
+
+def _later(estate: api.Estate, shift: float) -> api.Estate:
+    """The same under a clock that says so much more.  `started` is the servers' own word, and stays."""
+    backends = (b if b.health is None else replace(b, health=replace(
+        b.health, at=b.health.at + shift, until=b.health.until + shift, hold=b.health.hold + shift,
+        well_since=b.health.well_since + shift)) for b in estate.backends)
+    return replace(estate, born=estate.born + shift, backends=tuple(backends),
+                   since=None if estate.since is None else estate.since + shift)
+
+
+def recover(files: Files, settings: api.Settings, times: Times) -> Recovered:
+    """Reads what a process before has left.  Never raises for what is in the files: what can't be believed is set
+    aside, and the log says why.  OSError where the folder can't be read or written."""
+    blank = api.Unknown(times.clock)
+    if not files.token.exists() and not files.snapshot.exists():
+        return Recovered("nothing was kept before", log=max(files.logs(), default=0) + 1)
+    try:
+        return _read(files, settings, times)
+    except FileNotFoundError as error:
+        why, damaged = f"{error.filename}: it is missing", False
+    except (Damaged, ValueError, KeyError, TypeError, IndexError, AttributeError, OverflowError) as error:
+        text = str(error) if isinstance(error, Damaged) else f"{files.snapshot}: {type(error).__name__}: {error}"
+        why, damaged = text, True
+    last = max(files.logs(), default=0)
+    mark = files.set_aside()
+    return Recovered(f"{why}; it is set aside as *.{mark}, and buckets fill from nothing", (blank,),
+                     log=last + 1, damaged=damaged)
+
+
+def _read(files: Files, settings: api.Settings, times: Times) -> Recovered:
+    snapshot = unpack(files.snapshot, files.snapshot.read_bytes(), files.name)
+    head = snapshot.head
+    if head["token"] not in files.read_tokens():
+        raise Damaged(f"{files.snapshot}: it is not the one that was written last")
+    first, last = int(head["log"]), max(files.logs(), default=0)
+    records: list[list[Any]] = []
+    at, count = float(head["at"]), int(head["count"])
+    for number in range(first, max(first, last) + 1):
+        path = files.log(number)
+        data = path.read_bytes()
+        expected = None
+        for place, source in lines(path, data):
+            if place == 1:
+                expected = {"form": FORM, "log": number, "token": source.get("token"), "count": count}
+                if source != expected or (number == first and source["token"] != head["token"]):
+                    raise Damaged(f"{path}: it does not go with {files.snapshot.name}")
+                continue
+            when = float(source[1])
+            if source[0] != count + (len(source) > 2):
+                raise Damaged(f"{path}: line {place}: record {source[0]} comes after {count}")
+            at, count = max(at, when), int(source[0])
+            if len(source) > 2:
+                records.append(source)
+        if expected is None:
+            raise Damaged(f"{path}: it is empty")
+    listing, next_log = snapshot.listing, max(first, last) + 1
+    shift = times.clock - times.boot - float(head["offset"])
+    same, clean = head["boot_id"] == times.boot_id, bool(head["clean"]) and not records
+    gone = times.boot - at if same else times.clock - (at + float(head["offset"]))
+    if not clean and not same:
+        # Whoever wrote it ended with the machine at the latest.
+        return Recovered(f"the machine was started anew {times.boot:.1f} s ago: buckets have filled since then",
+                         (api.Unknown(times.clock - times.boot),), listing, next_log, count)
+    if not clean and not -MARK <= gone <= FRESH:
+        return Recovered(f"{files.snapshot}: the last word is {gone:.1f} s old: buckets fill from nothing",
+                         (api.Unknown(times.clock),), listing, next_log, count)
+    gone = max(0.0, gone)  # the Unix clock may have been set back meanwhile
+    estate = _replay(settings, snapshot, records, float(head["offset"]), at + gone)
+    if gone > HEALTH_AGE:
+        estate = replace(estate, backends=())
+    kind = "after an orderly end" if clean else f"with {len(records)} records"
+    return Recovered(f"{len(estate.customers)} customers and {len(estate.backends)} servers, {kind}, "
+                     f"{gone:.1f} s ago", (_later(estate, shift if same else 0.0),), listing, next_log, count)
+
+
+def _replay(settings: api.Settings, snapshot: Snapshot, records: Iterable[Sequence[Any]], offset: float,
+            until: float) -> api.Estate:
+    """The buckets at `until` (s since the start of the machine): the module itself counts, under the clock of the
+    process before."""
+    scratch = Gateway(settings, 0)
+    begun = float(snapshot.head["at"]) + offset
+    scratch.handle(begun, api.BackendsChanged(api.ListKind.RESTORED, snapshot.listing.backends))
+    quiet = tuple(replace(c, out=0) for c in snapshot.estate.customers)  # what was out is over
+    scratch.handle(begun, replace(snapshot.estate, customers=quiet, draining=False))
+    before = int(snapshot.head["count"])
+    for number, at, customer, plan, spread, units, inside, backend, work in records:
+        news = number > snapshot.seen.get(customer, before)
+        cold = number > int(snapshot.head["servers"])
+        scratch.handle(float(at) + offset, api.Spent(
+            customer, plan, spread, units if news else 0.0, bool(inside), 0, backend, work if cold else 0.0))
+    return scratch.estate(until + offset)
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -22,6 +22,7 @@
 
 SPARE_FILES = 48  # descriptors that are no peer's: standard streams, the loop's own, counter, discovery
 LEAST_SOCKETS = 64
+SNAPSHOT_EVERY = 5.0  # s between snapshots of a checkpoint
 LEAST_MEMORY_MB = 24  # the program itself takes 20
 
 
@@ -53,6 +54,7 @@
     unknown: tuple[str, ...] = ()  # keys that mean nothing here
     tls: Tls | None = None  # of the clients' connections
     server_tls: Tls | None = None  # of those to the backends
+    checkpoint: tuple[str, float] | None = None  # folder, and s between snapshots
     # What was read, without the seed and the list (neither alone is a change) and without the second address,
     # which each process of an ingress has for itself.
     document: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
@@ -107,12 +109,13 @@
                     "sockets": Number(LEAST_SOCKETS, 1 << 20, whole=True)})
 TLS = Shape({"certificate": Text(), "key": Text(), "ca": Text()}, frozenset({"certificate", "key"}))
 SERVER_TLS = Shape({"ca": Text(), "name": Text(), "certificate": Text(), "key": Text()}, frozenset({"ca"}))
+CHECKPOINT = Shape({"folder": Text(), "every_s": Number(0.1)}, frozenset({"folder"}))
 DOCUMENT = Shape(
     {"name": Text(), "listen": Text(), "discovery": Text(), "counter": Text(), "control": Text(),
      "seed": Text(), "limits": OWN_LIMITS, "known": Anything(), "settings": SETTINGS, "tls": TLS,
-     "server-tls": SERVER_TLS},
+     "server-tls": SERVER_TLS, "checkpoint": CHECKPOINT},
     frozenset({"name", "listen", "discovery", "seed", "limits", "settings"}),
-    frozenset({"known", "counter", "control", "tls", "server-tls"}))
+    frozenset({"known", "counter", "control", "tls", "server-tls", "checkpoint"}))
 
 
 def same_but(config: Config, document: Mapping[str, Any]) -> Config:
@@ -177,7 +180,9 @@
         idle_time=float(limits.get("keepalive-s", 15.0)), most_open=int(limits.get("max-open", 20000)),
         memory=int(own.get("memory_mb", 128) * (1 << 20)), unknown=tuple(check.unknown),
         document=document, digest=hashlib.sha256(canonical + prints).hexdigest()[:12], size=len(canonical),
-        tls=tls.get("tls"), server_tls=tls.get("server-tls"))
+        tls=tls.get("tls"), server_tls=tls.get("server-tls"),
+        checkpoint=(source["checkpoint"]["folder"], float(source["checkpoint"].get("every_s", SNAPSHOT_EVERY)))
+        if source.get("checkpoint") else None)
 
 
 def _tls(source: dict[str, Any], check: Check) -> dict[str, Tls]:
@@ -217,7 +222,9 @@
 
 def _contradictions(source: dict[str, Any], check: Check) -> None:
     """What is well-formed for itself and can't hold together."""
-    seed, env = source.get("seed"), source.get("settings")
+    seed, env, kept = source.get("seed"), source.get("settings"), source.get("checkpoint")
+    if isinstance(kept, dict) and isinstance(folder := kept.get("folder"), str) and not os.path.isabs(folder):
+        check.fault("checkpoint.folder", f"{folder!r} is not an absolute path")
     if isinstance(seed, str) and seed:
         try:
             int(seed, 16)
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -77,6 +77,10 @@
         self.version: int | None = version or None
         self.held, self.heard = version, 0.0  # version of the list in use; when the agent last spoke, or 0
 
+    def begin(self, version: int) -> None:
+        """Another list is held than the one known at first."""
+        self.version, self.held = version, version
+
     def figures(self) -> dict[str, int]:
         """The version held, and how long ago the agent last said that it holds, -1 for never."""
         age = -1 if not self.heard else round((time.monotonic() - self.heard) * 1000)
--- a/mulleinhall/net/figures.py
+++ b/mulleinhall/net/figures.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 # What stands as it is; all else is counted from the start.
-GAUGES = ("health.", "list.", "connections.", "loop.", "client_addresses", "tls.")
+GAUGES = ("health.", "list.", "connections.", "loop.", "client_addresses", "tls.", "checkpoint.on", "checkpoint.bytes")
 
 
 class End(Enum):
--- a/mulleinhall/net/generations.py
+++ b/mulleinhall/net/generations.py
@@ -15,7 +15,7 @@
 MOST_KEPT = 8  # generations, the present one among them
 MOST_BYTES = 16 << 20  # of their texts together
 MOST_SHOWN = 40  # differences
-FIXED = ("name", "listen", "control")  # a running process can't change them
+FIXED = ("name", "listen", "control", "checkpoint")  # a running process can't change them
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/net/handover.py
+++ b/mulleinhall/net/handover.py
@@ -42,10 +42,7 @@
         try:
             if message["form"] not in (FORM, BEFORE):
                 raise ValueError(f"form {message['form']!r}")
-            infos = (api.Backend(**row | {"readiness": api.Readiness(row["readiness"])})
-                     for row in message["backends"])
-            self.listing = Listing(int(message["version"]), True, tuple(infos), {
-                name: (host, port) for name, (host, port) in message["addresses"].items()})
+            self.listing = read_list(message)
             self.estate = read_estate(message["estate"], message["form"])
             self.documents: list[Mapping[str, Any]] = message.get("documents", [])
             self.words: list[list[Any]] = message.get("ledger", [])
@@ -59,6 +56,12 @@
     return Path(tempfile.gettempdir()) / f"ingress-{listen[0]}-{listen[1]}"
 
 
+def read_list(message: Mapping[str, Any]) -> Listing:
+    infos = (api.Backend(**row | {"readiness": api.Readiness(row["readiness"])}) for row in message["backends"])
+    return Listing(int(message["version"]), True, tuple(infos), {
+        name: (host, port) for name, (host, port) in message["addresses"].items()})
+
+
 def read_backend(state: Sequence[Any], form: int) -> api.BackendState:
     if form == BEFORE:
         name, limit, was_cut, wait, pace, _failures, _unreachable, _retry_at, budget = state
@@ -73,7 +76,7 @@
         float(row["born"]), bool(row["draining"]), float(row["typical"]), float(row["done"]), row["means"],
         tuple(api.CustomerState(*state) for state in row["customers"]),
         tuple(read_backend(state, form) for state in row["backends"]),
-        {str(name): float(level) for name, level in row.get("fresh", {}).items()})
+        {str(name): float(level) for name, level in row.get("fresh", {}).items()}, row.get("since"))
 
 
 def will(version: int, infos: Iterable[api.Backend], addresses: Mapping[str, tuple[str, int]],
@@ -84,13 +87,21 @@
     return {
         "ledger": list(words),
         "row": row.written() if row is not None else None,
-        "form": FORM, "documents": list(documents), "version": version, "addresses": addresses,
-        "backends": [asdict(info) | {"readiness": info.readiness.value} for info in infos
-                     if info.id in addresses],
-        "estate": {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
-                   "done": estate.done, "means": estate.means,
-                   "customers": [astuple(c) for c in estate.customers],
-                   "backends": [astuple(b) for b in estate.backends], "fresh": estate.fresh}}
+        "form": FORM, "documents": list(documents), **write_list(version, infos, addresses),
+        "estate": write_estate(estate)}
+
+
+def write_list(version: int, infos: Iterable[api.Backend],
+               addresses: Mapping[str, tuple[str, int]]) -> dict[str, Any]:
+    return {"version": version, "addresses": addresses, "backends": [
+        asdict(info) | {"readiness": info.readiness.value} for info in infos if info.id in addresses]}
+
+
+def write_estate(estate: api.Estate) -> dict[str, Any]:
+    return {"born": estate.born, "draining": estate.draining, "typical": estate.typical,
+            "done": estate.done, "means": estate.means,
+            "customers": [astuple(c) for c in estate.customers],
+            "backends": [astuple(b) for b in estate.backends], "fresh": estate.fresh, "since": estate.since}
 
 
 def take_over(path: Path) -> Taken | None:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -9,12 +9,12 @@
 import random
 import socket
 from collections import deque
-from collections.abc import Awaitable, Mapping, Sequence
+from collections.abc import Awaitable, Iterable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 from math import ceil
 from pathlib import Path
 from time import monotonic
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
@@ -30,13 +30,16 @@
 from mulleinhall.net.discovery import Discovery, Listing
 from mulleinhall.net.figures import End, Figures
 from mulleinhall.net.generations import MOST_SHOWN, Generations
-from mulleinhall.net.handover import Handover, Link, Taken, will
+from mulleinhall.net.handover import Handover, Link, Taken, will, write_estate, write_list
 from mulleinhall.net.ledger import Ledger, Word
 from mulleinhall.net.logs import REQUESTS
 from mulleinhall.net.members import BEAT, NONE, Members, Row, read_row
 from mulleinhall.net.presence import Presence
 from mulleinhall.net.probes import Check
 
+if TYPE_CHECKING:
+    from mulleinhall.net.keeper import Keeper
+
 log = logging.getLogger(__name__)
 
 MARGIN = 0.020  # s before the client's time is up: when the module's time is up
@@ -130,6 +133,7 @@
         self.taken = taken
         self.handover = None if path is None else Handover(path, self)
         self.ledger = Ledger(self.handover.presence.name if self.handover is not None else "")
+        self.keeper, self.kept = self._keeper(config), False  # `kept`: what is spent is on disk
         self.drain_told = 0.0  # when the call was made that holds (monotonic): an older one changes nothing
         self.members: Members | None = None
         self.teller: asyncio.TimerHandle | None = None
@@ -147,6 +151,8 @@
             self.feed(self.taken.estate)
             self.ledger.begin(self.taken.words)
             self._join(self.taken.documents)
+        elif self.keeper is not None:
+            self._recover(self.keeper)
         self.clients.open()
         if self.control is not None:
             await self.control.open()
@@ -155,6 +161,8 @@
             self.members = self._membership(self.handover.presence)
             await self.handover.open(self.taken)
             self._beat()
+        if self.keeper is not None:
+            self.keeper.start()
         watch = self.loop.create_task(self.discovery.run())
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
@@ -163,6 +171,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             await watch
         self.backends.close()
+        if self.keeper is not None:
+            await self.keeper.close(clean=not (self.members and self.members.rows))
         if self.control is not None:
             self.control.close()
         if self.handover is not None:
@@ -341,7 +351,7 @@
                 lines = self.figures.lines(self.backends.listed(), self.gateway.avoided(self.clock()),
                                            self.gateway.health() | self.discovery.figures()
                                            | self.clients.figures() | self.backends.counts()
-                                           | self._expiry())
+                                           | self._expiry() | (self.keeper.figures() if self.keeper else {}))
                 return "\n".join([*lines, "eof"])
             case "show-members" if self.members is not None:
                 ledger = self.ledger
@@ -368,6 +378,57 @@
         if self.handover is not None:
             self.handover.tell({"drain": on, "at": at}, but)
 
+    # A checkpoint, for the process that comes after a crash
+
+    def _keeper(self, config: Config) -> Keeper | None:
+        """What writes it is loaded only where the configuration names a folder."""
+        if config.checkpoint is None:
+            return None
+        from mulleinhall.net.checkpoint import Files
+        from mulleinhall.net.keeper import Keeper
+        folder, every = config.checkpoint
+        return Keeper(Files(Path(folder), config.name), every, self, self.clock)
+
+    def _recover(self, keeper: Keeper) -> None:
+        """What a process that was killed has left.  A folder that can't be used is said, and no more."""
+        from mulleinhall.net.checkpoint import read_times, recover
+        try:
+            if not keeper.acquire():
+                log.error("%s: another process holds %s: no checkpoint is kept", self.config.name, keeper.files.lock)
+                return
+            found = recover(keeper.files, self.settings, read_times(self.clock()))
+            log.log(logging.ERROR if found.damaged else logging.INFO, "%s: checkpoint: %s", self.config.name, found.why)
+            keeper.begin(found.log, found.count)
+        except OSError as error:
+            log.error("%s: no checkpoint is kept: %s: %s", self.config.name, error.filename, error.strerror)
+            return
+        if found.listing is not None and found.listing.version > self.config.known.version:
+            self.discovery.begin(found.listing.version)
+            self.listed(api.ListKind.RESTORED, found.listing)
+        for event in found.events:
+            self.feed(event)
+
+    def names(self) -> list[str]:
+        return list(self.gateway.customers)
+
+    def states(self, names: Iterable[str]) -> list[api.CustomerState]:
+        return self.gateway.customer_states(self.clock(), names)
+
+    def rest(self) -> dict[str, Any]:
+        return {"estate": write_estate(self.gateway.estate(self.clock(), customers=False)), "list": write_list(
+            self.discovery.version or 0, [s.info for s in self.gateway.fleet.servers.values()],
+            self.backends.addresses())}
+
+    def keeps(self, on: bool) -> None:
+        if on is not self.kept:
+            self.kept = on
+            self._tell_module()
+
+    def _tell_module(self) -> None:
+        others = len(self.members.rows) if self.members is not None else 0
+        links = len(self.handover.links) if self.handover is not None else 0
+        self.feed(api.Twins(max(others, links), self.successor is not None, self.kept))
+
     # Other processes of this ingress
 
     def last_will(self) -> tuple[socket.socket | None, dict[str, Any]]:
@@ -390,8 +451,7 @@
                 log.warning("%s: the process that took over is gone", self.config.name)
                 self.clients.accept(True)
                 self.listening = self.loop.create_task(self.handover.listen())
-        others = len(self.members.rows) if self.members is not None else 0
-        self.feed(api.Twins(max(others, len(self.handover.links)), self.successor is not None))
+        self._tell_module()
         self._divide()
 
     def link_made(self, link: Link) -> None:
@@ -498,11 +558,11 @@
                 self.twins_changed()
             case {"spent": _, "total": word}:
                 for spent in self.ledger.hear(word):
-                    self.feed(spent)
+                    self._spent_elsewhere(spent)
                     self._tell_spent(spent, word, link)
             case {"spent": row}:  # of a build that tells steps: they count as this one's
                 spent = api.Spent(*row)
-                self.feed(spent)
+                self._spent_elsewhere(spent)
                 self._tell_spent(spent, self.ledger.spend(spent), link)
             case {"drain": on, "at": at}:
                 self._drain_all(bool(on), float(at), link)
@@ -516,6 +576,11 @@
                 link.held = tuple(row)
                 self._divide()
 
+    def _spent_elsewhere(self, spent: api.Spent) -> None:
+        self.feed(spent)
+        if self.keeper is not None:
+            self.keeper.spent(spent)
+
     def _tell_spent(self, spent: api.Spent, word: Word, but: Link | None = None) -> None:
         """A build that keeps no ledger reads the step alone."""
         if self.handover is not None:
@@ -752,8 +817,11 @@
                 self.backends.close_idle(backend)
             case api.Log(text=text):
                 log.info("%s", text)
-            case api.TellTwins(spent=spent) if self.handover is not None:
-                self._tell_spent(spent, self.ledger.spend(spent))
+            case api.TellTwins(spent=spent):
+                if self.keeper is not None:
+                    self.keeper.spent(spent)
+                if self.gateway.twins.count:
+                    self._tell_spent(spent, self.ledger.spend(spent))
             case api.Welcome(on=on):
                 self.clients.welcome = on
                 log.info("%s %s", self.config.name, "takes requests" if on else "drains")
--- /dev/null
+++ b/mulleinhall/net/keeper.py
@@ -0,0 +1,216 @@
+"""Keeps a checkpoint of this process: a snapshot now and then, and a log of what is spent in between.
+
+A record is written before its request goes out, so that a process that is killed has spent nothing that its log does
+not tell.  A snapshot is made in small parts between the requests: each customer's row says which record it has counted.
+One that takes long to make is made the less often.  Where the disk fails, what is on it is taken back, requests go on,
+and the next snapshot tries again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import logging
+import os
+import secrets
+import time
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import astuple
+from typing import Any, Protocol
+
+import mulleinhall.interface as api
+from mulleinhall.net.checkpoint import FORM, MARK, Files, line, pack, read_times
+from mulleinhall.net.clock import Clock
+
+log = logging.getLogger(__name__)
+
+CHUNK = 200  # customers between two looks at what else is to do
+SHARE = 50  # a snapshot takes one in so many of the time at most
+LOOK = 0.1  # s between tries to get the lock from a process that ends
+
+
+class Kept(Protocol):
+    """The process whose state is kept."""
+
+    def names(self) -> list[str]: ...
+
+    def states(self, names: Iterable[str]) -> list[api.CustomerState]: ...
+
+    def rest(self) -> dict[str, Any]:
+        """`estate` but for the customers, and `list`, as in a hand-over."""
+
+    def keeps(self, on: bool) -> None:
+        """From now on what is spent is told, or need not be."""
+
+
+class Keeper:
+    def __init__(self, files: Files, every: float, kept: Kept, clock: Clock) -> None:
+        self.files, self.every, self.kept, self.clock = files, every, kept, clock
+        self.loop = asyncio.get_running_loop()
+        self.lock, self.log = -1, -1  # descriptors
+        self.number, self.count = 0, 0  # of the log that is written, of the last record
+        self.token, self.written_at = "", 0.0
+        self.records, self.snapshots, self.failures, self.bytes = 0, 0, 0, 0
+        self.task: asyncio.Task[None] | None = None
+
+    def figures(self) -> dict[str, int]:
+        return {"checkpoint.on": int(self.log >= 0), "checkpoint.records": self.records,
+                "checkpoint.snapshots": self.snapshots, "checkpoint.failures": self.failures,
+                "checkpoint.bytes": self.bytes}
+
+    # The lock: one process writes
+
+    def acquire(self) -> bool:
+        """Whether this process is the one that writes."""
+        if self.lock < 0:
+            self.files.folder.mkdir(parents=True, exist_ok=True)
+            handle = os.open(self.files.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                os.close(handle)
+                return False
+            self.lock = handle
+            self.number = max(self.files.logs(), default=0)
+        return True
+
+    def begin(self, number: int, count: int) -> None:
+        """Before the first request: all that is spent from now on is in log `number`, after record `count`.  It
+        goes with the snapshot that is there until a new one is.  Blocks: this process does not serve yet."""
+        self.count = count
+        if not self.files.token.exists():
+            self.files.put_tokens([])  # from now on there was a process, and what it spent is not nothing
+        self._begin_log(number, secrets.token_hex(8))
+
+    def start(self) -> None:
+        self.task = self.loop.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            pause = LOOK
+            try:
+                if self.lock >= 0 or self.acquire():
+                    began = time.process_time()
+                    await self.snapshot()
+                    pause = max(self.every, SHARE * (time.process_time() - began))
+            except OSError as error:  # the snapshot before holds, with all logs since
+                self.failures += 1
+                log.error("no snapshot is made: %s: %s", error.filename or self.files.folder, error.strerror)
+                pause = self.every
+            due = self.loop.time() + pause
+            while (left := due - self.loop.time()) > 0:
+                await asyncio.sleep(min(MARK / 2, left))
+                if self.log >= 0 and self.loop.time() - self.written_at > MARK / 2:
+                    self._write([self.count, self._boot()])
+
+    def _boot(self) -> float:
+        return round(time.clock_gettime(time.CLOCK_BOOTTIME), 6)
+
+    # Records
+
+    def spent(self, spent: api.Spent) -> None:
+        """Before the request goes out."""
+        if self.log < 0 or not (spent.units or spent.work):
+            return
+        self.count += 1
+        self.records += 1
+        self._write([self.count, self._boot(), spent.customer, spent.plan, spent.spread, spent.units,
+                     spent.inside, spent.backend, spent.work])
+
+    def _write(self, source: Any) -> None:
+        data = line(source)
+        try:
+            if os.write(self.log, data) != len(data):
+                raise OSError(28, "a record was not written whole", str(self.files.log(self.number)))
+        except OSError as error:
+            self._fail(error)
+        self.written_at = self.loop.time()
+
+    def _fail(self, error: OSError) -> None:
+        """Danger: a snapshot whose log stands still would hand out what is spent from now on once more."""
+        self.failures += 1
+        log.error("no checkpoint is kept: %s: %s", error.filename or self.files.folder, error.strerror)
+        self._stop_log()
+        try:
+            self.files.forget()
+        except OSError as again:
+            log.error("what was kept can't be taken back: %s: %s", again.filename, again.strerror)
+
+    def _stop_log(self) -> None:
+        if self.log >= 0:
+            os.close(self.log)
+            self.log = -1
+        self.kept.keeps(False)
+
+    # Snapshots
+
+    async def snapshot(self, clean: bool = False) -> None:
+        """OSError where it can't be written; then the one before holds as long as its logs are there."""
+        token, tokens = secrets.token_hex(8), [self.token] if self.token else self._tokens()
+        files, number = self.files, self.number + 1
+        await asyncio.to_thread(files.put_tokens, [*tokens, token])
+        self._begin_log(number, token)
+        boot_at, offset = self._boot(), self.clock() - time.clock_gettime(time.CLOCK_BOOTTIME)
+        head = {"form": FORM, "name": files.name, "token": token, "log": number, "count": self.count,
+                "boot_id": read_times(0.0).boot_id, "at": boot_at, "offset": offset, "clean": clean,
+                "servers": self.count, **self.kept.rest()}
+        rows: list[bytes] = []
+        names = self.kept.names()
+        for place in range(0, len(names), CHUNK):
+            states = self.kept.states(names[place:place + CHUNK])
+            if states:
+                rows.append(line([[self.count, *astuple(state)] for state in states]))
+            if not clean:
+                await asyncio.sleep(0)
+        self.bytes = await asyncio.to_thread(self._put, head, rows)
+        self.token, self.snapshots = token, self.snapshots + 1
+
+    def _put(self, head: dict[str, Any], rows: list[bytes]) -> int:
+        """In a thread: the bytes of the snapshot that is in place of the one before."""
+        pieces = list(pack(head, rows))
+        self.files.put(self.files.snapshot, pieces)
+        self.files.put_tokens([head["token"]])
+        for old in self.files.logs():
+            if old < head["log"]:
+                self.files.log(old).unlink(missing_ok=True)
+        return sum(map(len, pieces))
+
+    def _tokens(self) -> list[str]:
+        """Of a process before, whose snapshot holds until there is another."""
+        with suppress(Exception):
+            return self.files.read_tokens()
+        return []
+
+    def _begin_log(self, number: int, token: str) -> None:
+        """Records go to the new log from now on."""
+        path = self.files.log(number)
+        handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        data = line({"form": FORM, "log": number, "token": token, "count": self.count})
+        try:
+            if os.write(handle, data) != len(data):
+                raise OSError(28, "a log was not begun", str(path))
+        except OSError:
+            os.close(handle)
+            path.unlink(missing_ok=True)
+            raise
+        if self.log >= 0:
+            os.close(self.log)
+        self.log, self.number, self.written_at = handle, number, self.loop.time()
+        self.kept.keeps(True)
+
+    async def close(self, clean: bool) -> None:
+        """`clean`: nobody goes on; what is in the buckets now is exact."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        try:
+            if clean and self.lock >= 0:
+                await self.snapshot(clean=True)
+        except OSError as error:
+            self._fail(error)
+        if self.log >= 0:
+            self._stop_log()
+        if self.lock >= 0:
+            os.close(self.lock)
+            self.lock = -1
--- /dev/null
+++ b/tests/test_checkpoint.py
@@ -0,0 +1,446 @@
+"""What a process leaves on disk, and what the next one makes of it: kills at each step, faults in each byte."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import shutil
+import signal
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+import mulleinhall.interface as api
+from mulleinhall.logic import Gateway
+from mulleinhall.net.checkpoint import FRESH, Files, Recovered, Times, line, read_times, recover
+from mulleinhall.net.clock import unix_clock
+from mulleinhall.net.config import BadConfig
+from mulleinhall.net.handover import write_estate, write_list
+from mulleinhall.net.ingress import Ingress
+from mulleinhall.net.keeper import Keeper
+from tests.conftest import BASIC, FLEET, SETTINGS
+from tests.peers import Caller, backend, command, config, entry, run, until
+from tests.test_net_handover import SMALL
+from tests.test_net_members import Fleet, ask
+
+SLOW = replace(SETTINGS, plans=(replace(BASIC, rate=0.0002, burst=8.0),))
+FULL = 5.0  # of a slice: 8 over 2 gateways, and one request
+
+
+class Killed(BaseException):
+    """The process ends here: nothing that it would do next is done."""
+
+
+class Process:
+    """A gateway whose state is kept, and no sockets."""
+
+    def __init__(self, folder: Path, settings: api.Settings = SLOW, every: float = 1000.0) -> None:
+        self.clock, self.count = unix_clock(), 0
+        self.gateway = Gateway(settings, 1)
+        self.keeper = Keeper(Files(folder, "n0"), every, self, self.clock)
+        self.gateway.handle(self.clock(), api.BackendsChanged(api.ListKind.RESTORED, FLEET))
+        assert self.keeper.acquire()
+        self.found = recover(self.keeper.files, settings, read_times(self.clock()))
+        for event in self.found.events:
+            self.gateway.handle(self.clock(), event)
+        self.keeper.begin(self.found.log, self.found.count)
+
+    def names(self) -> list[str]:
+        return list(self.gateway.customers)
+
+    def states(self, names: Iterable[str]) -> list[api.CustomerState]:
+        return self.gateway.customer_states(self.clock(), names)
+
+    def rest(self) -> dict[str, Any]:
+        fleet = self.gateway.fleet.servers.values()
+        return {"estate": write_estate(self.gateway.estate(self.clock(), customers=False)),
+                "list": write_list(7, [s.info for s in fleet], {s.info.id: ("127.0.0.1", 1) for s in fleet})}
+
+    def keeps(self, on: bool) -> None:
+        self.gateway.handle(self.clock(), api.Twins(0, kept=on))
+
+    def spend(self, customer: str = "c") -> None:
+        """A request that goes out, if it may; what it takes is written first."""
+        self.count += 1
+        asked = api.Request(f"r{self.count}", "read", "basic", customer, 4.0, spread=2)
+        for action in self.gateway.handle(self.clock(), asked):
+            if isinstance(action, api.TellTwins):
+                self.keeper.spent(action.spent)
+            if isinstance(action, api.Send):
+                self.gateway.handle(self.clock(), api.AttemptEnded(
+                    action.id, 0, action.backend, api.Outcome.OK, 0.001, True))
+
+    def level(self, customer: str = "c") -> float:
+        one = self.gateway._customer(self.clock(), customer, self.gateway.plans["basic"], 2)
+        return one.slice.level
+
+    def die(self) -> None:
+        """As a SIGKILL leaves it: descriptors are closed, and so the lock is let go."""
+        for handle in (self.keeper.log, self.keeper.lock):
+            if handle >= 0:
+                os.close(handle)
+
+
+def test_the_next_process_has_what_is_left_and_no_second_burst(tmp_path: Path) -> None:
+    async def body() -> None:
+        one = Process(tmp_path)
+        one.spend()
+        await one.keeper.snapshot()
+        one.spend()
+        one.spend("d")
+        await one.keeper.snapshot()
+        one.spend()
+        one.die()
+        two = Process(tmp_path)
+        assert two.found.why.startswith("2 customers and 4 servers, with 1 records")
+        assert [round(two.level(name), 2) for name in "cde"] == [FULL - 3, FULL - 1, FULL]
+        two.spend()  # and once more before its first snapshot
+        two.die()
+        three = Process(tmp_path)
+        assert round(three.level(), 2) == FULL - 4
+        three.spend()
+        await three.keeper.close(clean=True)
+        four = Process(tmp_path)
+        assert "after an orderly end" in four.found.why and round(four.level(), 2) == FULL - 5
+        four.die()
+
+    run(body())
+
+
+def test_buckets_refill_while_nobody_serves_and_no_ceiling_is_raised(tmp_path: Path) -> None:
+    plan = replace(BASIC, rate=2.0, burst=8.0, ceiling_rate=0.5, ceiling_burst=4.0)
+    settings = replace(SETTINGS, plans=(plan,))
+
+    async def body() -> None:
+        one = Process(tmp_path, settings)
+        one.gateway.fresh["basic"].level = 4.0  # long enough for the ceiling to be full
+        for _ in range(2):
+            one.spend()
+        await one.keeper.snapshot()
+        one.die()
+        times = read_times(one.clock())
+        found = recover(one.keeper.files, settings, replace(times, boot=times.boot + 1.0, clock=times.clock + 1.0))
+        [estate] = found.events
+        assert isinstance(estate, api.Estate)
+        [customer] = estate.customers
+        assert 3.9 < customer.slice_level < 4.2  # 5, less two, and one in a second
+        assert 0.2 < customer.ceiling_level < 0.35  # 2, less two, and a quarter
+
+    run(body())
+
+
+def play(body: Callable[[Path], Awaitable[Process]], folder: Path) -> tuple[Process, Files]:
+    found: list[Process] = []
+
+    async def whole() -> None:
+        found.append(await body(folder))
+
+    uvloop.run(whole())
+    return found[0], found[0].keeper.files
+
+
+async def history(folder: Path) -> Process:
+    """A snapshot with three customers, two records after it."""
+    one = Process(folder)
+    for name in "abc":
+        one.spend(name)
+    await one.keeper.snapshot()
+    one.spend("a")
+    one.spend("b")
+    one.die()
+    return one
+
+
+TRUTH = {"a": FULL - 2, "b": FULL - 2, "c": FULL - 1}
+
+
+def judge(found: Recovered) -> str:
+    """Whether what is recovered is exact, or nothing is handed out; anything else fails."""
+    [event] = found.events
+    if isinstance(event, api.Unknown):
+        return "refused"
+    assert isinstance(event, api.Estate)
+    assert {c.customer: round(c.slice_level, 2) for c in event.customers} == TRUTH
+    return "recovered"
+
+
+def test_a_flipped_byte_or_a_cut_anywhere_is_found_and_named(tmp_path: Path) -> None:
+    one, files = play(history, tmp_path / "kept")
+    times = read_times(one.clock())
+    copies = tmp_path / "copies"
+    shutil.copytree(files.folder, copies)
+    tried = 0
+    assert judge(recover(files, SLOW, times)) == "recovered"
+    for path in (files.snapshot, files.token, files.log(2)):
+        data = path.read_bytes()
+        for place in range(len(data)):
+            for broken in (data[:place] + bytes([data[place] ^ 1 << place % 8]) + data[place + 1:], data[:place]):
+                path.write_bytes(broken)
+                found = recover(files, SLOW, times)
+                # A log cut between two lines is what a shorter history would have left; a kill can't cut one, for
+                # what was written stays, and a loss of power is told by the start of the machine.
+                whole = path == files.log(2) and broken.endswith(b"\n") and data.startswith(broken)
+                if not whole:
+                    assert found.damaged and judge(found) == "refused" and str(path.name) in found.why, (path, place)
+                tried += 1
+                shutil.rmtree(files.folder)
+                shutil.copytree(copies, files.folder)
+    assert tried > 3000
+
+
+@pytest.mark.parametrize("missing", ["snapshot", "token", "log-2"])
+def test_a_lost_file_is_named_and_hands_out_nothing(tmp_path: Path, missing: str) -> None:
+    one, files = play(history, tmp_path)
+    (tmp_path / f"n0.{missing}").unlink()
+    found = recover(files, SLOW, read_times(one.clock()))
+    if missing == "log-2":  # the snapshot's own
+        assert judge(found) == "refused"
+    assert judge(found) == "refused" and f"n0.{missing}" in found.why
+    assert not files.snapshot.exists()  # what is left of it can't mislead the next start
+
+
+def test_a_process_that_never_wrote_a_snapshot_hands_out_nothing_either(tmp_path: Path) -> None:
+    async def body() -> None:
+        one = Process(tmp_path)
+        assert one.found.why == "nothing was kept before" and not one.found.events
+        for _ in range(5):
+            one.spend()
+        one.die()
+        two = Process(tmp_path)
+        assert "n0.snapshot: it is missing" in two.found.why
+        assert two.level("c") < 0.1 and two.level("unseen") < 0.1
+
+    run(body())
+
+
+def test_another_start_of_the_machine_counts_from_there(tmp_path: Path) -> None:
+    one, files = play(history, tmp_path)
+    times = Times("another", 40.0, one.clock() + 60.0)
+    found = recover(files, SLOW, times)
+    assert found.events == (api.Unknown(times.clock - 40.0),) and found.listing and found.listing.version == 7
+    gateway = Gateway(replace(SLOW, plans=(replace(BASIC, rate=0.1, burst=8.0),)), 1)
+    gateway.handle(times.clock, *found.events)
+    one_of = gateway._customer(times.clock, "a", gateway.plans["basic"], 2)
+    assert abs(one_of.slice.level - 2.0) < 1e-6  # 0.05 a second for 40 s, though the burst was spent
+    assert gateway._customer(times.clock + 1000.0, "z", gateway.plans["basic"], 2).slice.level == FULL
+
+
+def test_one_whose_last_word_is_old_hands_out_nothing(tmp_path: Path) -> None:
+    one, files = play(history, tmp_path)
+    times = read_times(one.clock())
+    found = recover(files, SLOW, replace(times, boot=times.boot + FRESH + 1, clock=times.clock + FRESH + 1))
+    assert judge(found) == "refused" and "the last word is 6" in found.why and not found.damaged
+
+
+def test_a_clock_that_was_set_refills_nothing_and_moves_what_is_known(tmp_path: Path) -> None:
+    async def sick(folder: Path) -> Process:
+        one = Process(folder)
+        health = one.gateway.fleet.servers["b1"].health
+        while not one.gateway.fleet.outliers.ejected:
+            one.gateway.fleet.outliers.failed(health, one.clock(), api.Outcome.ERROR)
+        one.spend()
+        await one.keeper.snapshot()
+        one.die()
+        return one
+
+    one, files = play(sick, tmp_path)
+    times, held = read_times(one.clock()), one.gateway.fleet.servers["b1"].health
+    for shift in (-7200.0, 7200.0):
+        [estate] = recover(files, SLOW, replace(times, clock=times.clock + shift)).events
+        assert isinstance(estate, api.Estate)
+        [customer] = estate.customers
+        assert round(customer.slice_level, 2) == FULL - 1
+        [until] = [b.health.until for b in estate.backends if b.id == "b1" and b.health]
+        assert abs(until - held.until - shift) < 0.1
+
+
+def test_an_old_copy_that_was_put_back_is_refused(tmp_path: Path) -> None:
+    async def twice(folder: Path) -> Process:
+        one = Process(folder)
+        one.spend()
+        await one.keeper.close(clean=True)
+        shutil.copy(one.keeper.files.snapshot, folder / "copy")
+        two = Process(folder)
+        two.spend()
+        await two.keeper.close(clean=True)
+        shutil.copy(folder / "copy", two.keeper.files.snapshot)
+        return two
+
+    two, files = play(twice, tmp_path)
+    found = recover(files, SLOW, read_times(two.clock()))
+    assert judge(found) == "refused" and "not the one that was written last" in found.why
+
+
+def test_a_later_form_is_kept_aside_and_not_read(tmp_path: Path) -> None:
+    one, files = play(history, tmp_path)
+    head, *rest = files.snapshot.read_bytes().split(b"\n")
+    source = json.loads(head[9:]) | {"form": 2}
+    body = b"\n".join([line(source)[:-1], *rest[:-2]]) + b"\n"
+    files.snapshot.write_bytes(body + line({"sealed": hashlib.sha256(body).hexdigest(), "lines": 2}))
+    found = recover(files, SLOW, read_times(one.clock()))
+    assert judge(found) == "refused" and "form 2" in found.why
+    assert [p for p in tmp_path.iterdir() if p.name.startswith("n0.snapshot.damaged-")]
+
+
+STEPS = ("write", "fsync", "rename", "open", "unlink")
+
+
+class Layer:
+    """Between the program and the disk: fails, or ends the process, at one call."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, at: int, fault: Callable[[], BaseException]) -> None:
+        self.calls, self.at, self.fault, self.on = 0, at, fault, False
+        for name in STEPS:
+            monkeypatch.setattr(os, name, self._wrapped(name, getattr(os, name)))
+
+    def _wrapped(self, name: str, real: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*args: Any, **more: Any) -> Any:
+            if self.on:
+                self.calls += 1
+                if self.calls == self.at:
+                    if name == "write" and isinstance(self.fault(), OSError):
+                        real(args[0], args[1][:len(args[1]) // 2])  # a part of it goes through
+                    raise self.fault()
+            return real(*args, **more)
+        return call
+
+
+def steps(monkeypatch: pytest.MonkeyPatch, folder: Path, at: int,
+          fault: Callable[[], BaseException]) -> tuple[int, dict[str, float], Recovered]:
+    """A history with the fault at one call: calls made, what was spent for sure, and what is recovered."""
+    layer = Layer(monkeypatch, at, fault)
+    truth: dict[str, float] = {}
+
+    async def body() -> None:
+        one = Process(folder)
+
+        def spend(name: str) -> None:
+            one.spend(name)
+            truth[name] = one.level(name)
+
+        spend("a")
+        layer.on = True
+        try:
+            for _ in range(3):
+                with contextlib.suppress(OSError):
+                    await one.keeper.snapshot()
+                spend("a")
+                spend("b")
+        except Killed:
+            pass
+        layer.on = False
+        one.die()
+
+    uvloop.run(body())
+    monkeypatch.undo()
+    return layer.calls, truth, recover(Files(folder, "n0"), SLOW, read_times(unix_clock()()))
+
+
+@pytest.mark.parametrize("fault", [Killed, lambda: OSError(28, "No space left on device", "disk"),
+                                   lambda: OSError(30, "Read-only file system", "disk")])
+def test_a_kill_or_a_failing_disk_at_every_step_hands_out_no_unit_twice(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fault: Callable[[], BaseException]) -> None:
+    most, _, _ = steps(monkeypatch, tmp_path / "whole", 0, Killed)
+    assert most > 40
+    ends = {"recovered": 0, "refused": 0}
+    for at in range(1, most + 1):
+        _, truth, found = steps(monkeypatch, tmp_path / str(at), at, fault)
+        [event] = found.events
+        if isinstance(event, api.Estate):
+            levels = {c.customer: c.slice_level for c in event.customers}
+            for name, level in truth.items():
+                # A kill within a record: its request never went out, and counts as spent here or not.
+                assert levels[name] <= level + 0.01, (at, name)
+                assert levels[name] >= level - 1.01
+        ends["recovered" if isinstance(event, api.Estate) else "refused"] += 1
+    assert ends["recovered"] > most // 2
+
+
+def test_a_failing_disk_is_said_and_requests_go_on(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            one = Ingress(config(*(entry(peer.address, f"s{n}") for n in range(4)),
+                                 settings=SMALL, checkpoint={"folder": str(tmp_path), "every_s": 0.1}))
+            stop = asyncio.Event()
+            task = asyncio.create_task(one.run(stop))
+            await until(lambda: one.keeper and one.keeper.snapshots)
+            assert one.keeper
+            os.close(one.keeper.log)  # the disk is gone
+            one.keeper.log = os.open("/dev/full", os.O_WRONLY)
+            caller = await Caller.to(one.clients.listener.getsockname())
+            assert await caller.ask(command()) == b"00000000000000aa"
+            assert one.keeper.failures == 1 and not one.keeper.files.snapshot.exists()
+            before = one.keeper.snapshots
+            await until(lambda: one.keeper and one.keeper.snapshots > before)  # and it is back
+            assert await caller.ask(command()) == b"00000000000000aa"
+            assert one.keeper.records >= 1 and one.kept
+            stop.set()
+            await task
+            assert recover(one.keeper.files, one.settings, read_times(one.clock())).why.startswith("1 customers")
+
+    run(body())
+
+
+def test_a_real_process_that_is_killed_hands_out_no_fresh_burst(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            for kept, again in ((None, [True] * 4), ({"folder": str(tmp_path / "kept"), "every_s": 0.2}, [False] * 4)):
+                folder = tmp_path / str(bool(kept))
+                folder.mkdir()
+                there = Fleet(folder, peer, settings=SMALL, **({"checkpoint": kept} if kept else {}))
+                child, control = await there.start()
+                caller = await Caller.to(there.address)
+                assert [await caller.ask(command(str(n))) for n in range(4)] == [b"0", b"1", b"2", b"3"]
+                child.send_signal(signal.SIGKILL)
+                await child.wait()
+                child, control = await there.start()
+                caller = await Caller.to(there.address)
+                answers = [await caller.ask(command(str(n))) for n in range(4)]
+                assert [isinstance(answer, bytes) for answer in answers] == again
+                if kept:  # others have theirs
+                    assert await caller.ask(command("x", customer=8)) == b"x"
+                    figures = await ask(control, "show-stat")
+                    assert "checkpoint.on:1|" in figures
+
+    run(body())
+
+
+def test_an_upgrade_passes_the_folder_on(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            there = Fleet(tmp_path, peer, settings=SMALL, checkpoint={"folder": str(tmp_path / "kept"), "every_s": 0.2})
+            old, _ = await there.start()
+            caller = await Caller.to(there.address)
+            assert await caller.ask(command("1")) == b"1"
+            new, control = await there.start()
+            caller = await Caller.to(there.address)
+            assert await caller.ask(command("2")) == b"2"  # by the new one, told to the old one that writes
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            while "checkpoint.on:1|" not in await ask(control, "show-stat"):
+                await asyncio.sleep(0.02)
+            assert await caller.ask(command("3")) == b"3"
+            new.send_signal(signal.SIGKILL)
+            await new.wait()
+            await there.start()
+            caller = await Caller.to(there.address)
+            answers = [await caller.ask(command(str(n))) for n in range(3)]
+            assert [isinstance(answer, bytes) for answer in answers] == [True, False, False]
+
+    run(body())
+
+
+def test_the_configuration_names_a_folder_and_can_t_change_it() -> None:
+    for bad, key in (({"folder": "kept"}, "checkpoint.folder"), ({"every_s": 1}, "checkpoint.folder"),
+                     ({"folder": "/kept", "every_s": 0}, "checkpoint.every_s")):
+        with pytest.raises(BadConfig, match=key.replace(".", r"\.")):
+            config(checkpoint=bad)
+    assert config(checkpoint={"folder": "/kept"}).checkpoint == ("/kept", 5.0)
+    assert config().checkpoint is None
