Let machines of stand-ins vanish as a kernel sees it, on real sockets

Need: on sockets a machine that vanished still accepted connections, so that lost paths and connect time-outs were never played.

--- a/mulleinhall/emulator/live/play.py
+++ b/mulleinhall/emulator/live/play.py
@@ -216,6 +216,10 @@
     def reset_server(self, server: ServerModel) -> None:
         self.stand_ins[server.id].reset()
 
+    def vanish_server(self, server: ServerModel) -> None:
+        super().vanish_server(server)
+        self.stand_ins[server.id].vanish()
+
     def kill_gateway(self, number: int, ended: bool = False) -> None:
         gateway = self.gateways[number]
         if not gateway.up and not (ended and gateway.process.running()):
--- a/mulleinhall/emulator/live/servers.py
+++ b/mulleinhall/emulator/live/servers.py
@@ -10,6 +10,7 @@
 
 from mulleinhall.emulator.gateways import Held
 from mulleinhall.emulator.kernel import Clock
+from mulleinhall.emulator.live.vanish import come_back, vanish
 from mulleinhall.emulator.network import NetworkModel
 from mulleinhall.emulator.servers import ServerModel
 from mulleinhall.interface import Outcome
@@ -177,9 +178,22 @@
                                                  reuse_address=True)
         self.address = self.listener.sockets[0].getsockname()
 
+    def vanish(self) -> None:
+        """Connections stay open and silent, and new ones never come up."""
+        if self.listener is not None:
+            vanish(self.listener.sockets[0].fileno())
+        for talk in self.talks:
+            if talk.transport is not None:
+                vanish(talk.transport.get_extra_info("socket").fileno())
+
     def reset(self) -> None:
-        """All connections are reset; the listener stays, and the model says whether it accepts."""
+        """All connections are reset, also those of a machine that had vanished; the listener takes packets, and the
+        model says whether it accepts."""
+        if self.listener is not None and self.listener.sockets:
+            come_back(self.listener.sockets[0].fileno())
         for talk in list(self.talks):
+            if talk.transport is not None and not talk.transport.is_closing():
+                come_back(talk.transport.get_extra_info("socket").fileno())
             talk.end()
         self.talks.clear()
 
--- a/tests/test_emulator_live.py
+++ b/tests/test_emulator_live.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
 import signal
+import struct
+import termios
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -108,12 +111,15 @@
             assert await client.ask(resp(b"PING")) == b"PONG"
             server.model.die()
             server.model.machine = False
+            server.vanish()
             client.writer.write(command("1.1"))
             answer = asyncio.create_task(client.answer())
-            other = await Client.to(server.address)  # the kernel still accepts; nobody speaks
-            other.writer.write(resp(b"PING"))
-            await asyncio.sleep(0.05)
-            assert not answer.done()
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await Client.to(server.address)  # it never comes up
+            sock = client.writer.get_extra_info("socket")
+            unacknowledged = struct.unpack("I", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
+            assert unacknowledged == len(command("1.1")) and not answer.done()
             server.model.start()
             server.reset()
             with pytest.raises((EOFError, ConnectionError)):
