Show on sockets how ingresses see the servers and why they refuse

Need: reports of plays on real sockets had one reason, busy, and no states of health; lines of states sloped before their fault. Change: the play asks each ingress for its figures once a second; looks stand at the end of their second.

--- a/mulleinhall/emulator/live/play.py
+++ b/mulleinhall/emulator/live/play.py
@@ -31,10 +31,23 @@
 
 SLACK = 0.05  # s beside the rules' own on real sockets
 LATE = 0.02  # s: when this process was so late itself, nobody is blamed for an answer out of time
+TURNED_DOWN = "app.turned_down."
+STATES = ("healthy", "suspect", "ejected", "trial")
 END = 5.0  # s for a process to end at the end of the day
 CLIENT_PORT, CONTROL_PORT = 6379, 7001
 
 
+def read_figures(text: str) -> dict[str, float]:
+    """What `show-stat` says; lines that are no figure are left out."""
+    found = {}
+    for line in text.split("\n"):
+        name, _, rest = line.partition(":")
+        value = rest.partition("|")[0]
+        with contextlib.suppress(ValueError):
+            found[name] = float(value)
+    return found
+
+
 class LiveGateway(Caller):
     """One ingress: its process, its agent, the clients' connections, and what it was told."""
 
@@ -44,6 +57,7 @@
         self.process, self.agent, self.paused = process, agent, False
         self.leaving: dict[str, float] = {}  # when it was told that a server leaves
         self.starts: dict[str, float] = {}
+        self.turned_down: dict[str, float] = {}  # requests by reason, as last shown
 
     def listed(self, event: api.BackendsChanged) -> None:
         self.agent.learn(event)
@@ -209,7 +223,27 @@
             self.kernel.after(LOOKS, self._look)
         second = self.kernel.now - LOOKS / 2
         self.look_at_servers(second)
-        self.record.gauge(second, "gateways", sum(gateway.up for gateway in self.gateways))
+        up = [gateway for gateway in self.gateways if gateway.up and not gateway.paused]
+        self.record.gauge(second, "gateways", len(up))
+        self._later(self._ask_figures(second, up))
+
+    async def _ask_figures(self, second: float, up: list[LiveGateway]) -> None:
+        """What the ingresses show of themselves: servers' health, as the mean, and refusals by reason."""
+        answers = await asyncio.gather(*(call(gateway.process.control, "show-stat") for gateway in up),
+                                       return_exceptions=True)  # one that is killed meanwhile says nothing
+        found = [(gateway, read_figures(answer)) for gateway, answer in zip(up, answers, strict=True)
+                 if isinstance(answer, str)]
+        for state in STATES:
+            if found:
+                self.record.gauge(second, f"health.{state}", sum(
+                    figures.get(f"app.health.{state}", 0.0) for _, figures in found) / len(found))
+        for gateway, figures in found:
+            for name, count in figures.items():
+                if name.startswith(TURNED_DOWN):
+                    more = count - gateway.turned_down.get(name, 0.0)
+                    # A process that was started anew counts from nothing.
+                    self.record.count(second, name.removeprefix("app."), more if more >= 0 else count)
+            gateway.turned_down = {name: count for name, count in figures.items() if name.startswith(TURNED_DOWN)}
 
     # Faults
 
--- a/mulleinhall/emulator/report.py
+++ b/mulleinhall/emulator/report.py
@@ -132,8 +132,9 @@
                       fontsize="x-small", va="top", rotation=90)
 
 
-def _line(plays: Series, key: str) -> tuple[list[float], list[float]]:
-    return [row["second"] + 0.5 for row in plays], [row.get(key, 0.0) for row in plays]
+def _line(plays: Series, key: str, place: float = 0.5) -> tuple[list[float], list[float]]:
+    """`place`: where in its second a value stands; what is looked at stands at the end."""
+    return [row["second"] + place for row in plays], [row.get(key, 0.0) for row in plays]
 
 
 def _ends(axes: Axes, plays: Series) -> None:
@@ -144,10 +145,13 @@
 
 
 def _refusals(axes: Axes, plays: Series) -> None:
-    reasons = sorted({key for row in plays for key in row if key.startswith("refused.")})
+    keys = {key for row in plays for key in row}
+    # On sockets a client hears no reason, but the ingress shows its own.
+    reasons = (sorted(key for key in keys if key.startswith("turned_down."))
+               or sorted(key for key in keys if key.startswith("refused.")))
     if reasons:
         axes.stackplot(_line(plays, reasons[0])[0], [_line(plays, key)[1] for key in reasons],
-                       labels=[key.removeprefix("refused.") for key in reasons])
+                       labels=[key.partition(".")[2] for key in reasons])
     axes.plot(*_line(plays, "tries"), color="black", lw=0.8, label="tries")
     axes.set_ylabel("a second")
 
@@ -155,10 +159,10 @@
 def _states(axes: Axes, plays: Series) -> None:
     shown = [state for state in STATES if any(row.get(f"health.{state}") for row in plays)]
     if shown:
-        axes.stackplot(_line(plays, "second")[0], [_line(plays, f"health.{state}")[1] for state in shown],
+        axes.stackplot(_line(plays, "second", 1.0)[0], [_line(plays, f"health.{state}")[1] for state in shown],
                        labels=[f"seen as {state}" for state in shown], alpha=0.6)
-    axes.plot(*_line(plays, "servers.warm"), color="black", label="really warm")
-    axes.plot(*_line(plays, "servers.cold"), color="black", ls=":", label="really cold")
+    axes.plot(*_line(plays, "servers.warm", 1.0), color="black", drawstyle="steps-post", label="really warm")
+    axes.plot(*_line(plays, "servers.cold", 1.0), color="black", ls=":", drawstyle="steps-post", label="really cold")
     axes.set_ylabel("servers")
 
 
--- a/tests/test_emulator_live.py
+++ b/tests/test_emulator_live.py
@@ -26,7 +26,7 @@
 from mulleinhall.emulator.live.counter import Counter
 from mulleinhall.emulator.live.ingress import Process
 from mulleinhall.emulator.live.kernel import RealKernel
-from mulleinhall.emulator.live.play import LiveGateway, LivePlay
+from mulleinhall.emulator.live.play import LiveGateway, LivePlay, read_figures
 from mulleinhall.emulator.live.servers import StandIn, value_of
 from mulleinhall.emulator.measure import Recorder
 from mulleinhall.emulator.network import NetworkModel
@@ -256,6 +256,7 @@
     assert exact["totals"]["gateways killed"] == 1
     assert exact["totals"]["served"] > 0.5 * exact["totals"]["first tries"]
     assert found["ingress"]["memory_mb"] > 1
+    assert any(row.get("health.healthy", 0) > 1 for row in exact["series"])  # as the ingresses show it
     name = next(json.loads(line)["id"] for line in (tmp_path / "emulator.log").read_text().split("\n")
                 if '"served"' in line)
     text = "\n".join(follow(tmp_path.parent, name))
@@ -290,3 +291,8 @@
         day.file.close()
 
     run(body())
+
+
+def test_figures_are_read_and_what_is_none_is_left_out() -> None:
+    assert read_figures("app.health.healthy:3|g\napp.turned_down.quota:12|c\n\neof\napp.odd:x|c\n") == {
+        "app.health.healthy": 3.0, "app.turned_down.quota": 12.0}
