--- a/mulleinhall/emulator/cli.py
+++ b/mulleinhall/emulator/cli.py
@@ -31,7 +31,7 @@
 from mulleinhall.emulator.results import BadResults, Results
 from mulleinhall.emulator.runner import Runner, Task
 from mulleinhall.emulator.shrink import shrink, to_toml
-from mulleinhall.emulator.versions import NoSuchVersion
+from mulleinhall.emulator.versions import NoSuchVersion, lay_out
 
 BROKEN, BAD_INPUT, FAILED, INTERRUPTED = 1, 2, 3, 130
 FOUND = Path("found")
@@ -307,8 +307,10 @@
               help="Upgrades one after the other, under load.")
 @click.option("--clients", type=click.IntRange(1, 1000), default=5, show_default=True,
               help="Connections of the load; the first belongs to a customer that asks more than its ceiling.")
+@click.option("--from", "revision", default="", metavar="REV",
+              help="Every other process is of this git revision: upgrades from it and back to it.")
 @click.option("--json", "as_json", is_flag=True, help="Print the whole result as JSON.")
-def upgrades(chains: tuple[int, ...], count: int, clients: int, as_json: bool) -> None:
+def upgrades(chains: tuple[int, ...], count: int, clients: int, revision: str, as_json: bool) -> None:
     """Upgrades one ingress of real processes, stops and kills some, and says what that costs.
 
     Times to settle are s until all processes show one view, in which one accepts.  Nothing may be lost, and no unit be
@@ -318,7 +320,11 @@
     from mulleinhall.emulator.live.upgrades import Unsettled, measure
 
     try:
-        found = measure(list(chains), count, clients, lambda text: log.info(text))
+        with tempfile.TemporaryDirectory() as trees:
+            before = lay_out(revision, Path(trees)) if revision else None
+            found = measure(list(chains), count, clients, lambda text: log.info(text), before)
+    except NoSuchVersion as error:
+        stop(BAD_INPUT, str(error))
     except (Unsettled, NotReady, OSError) as error:
         stop(FAILED, str(error))
     if as_json:
--- a/mulleinhall/emulator/experiment.py
+++ b/mulleinhall/emulator/experiment.py
@@ -57,6 +57,8 @@
     max_attempts: Count = 3
     second_copies: bool = True
     probes: bool = True
+    tls: bool = False  # on real sockets: clients and servers speak TLS, with certificates made for the play
+    checkpoint: bool = False  # on real sockets: ingresses keep one, which outlives a kill
 
 
 class Network(Part):
@@ -282,6 +284,9 @@
             faults.append(f"fleet.gateways: {self.fleet.gateways} real processes, {MOST_LIVE} at most")
         if self.sockets and any(isinstance(fault, CutZone) for fault in self.faults):
             faults.append("faults: cut-zone can't be played on real sockets, where all share one loopback")
+        for key in ("tls", "checkpoint"):
+            if getattr(self.fleet, key) and not self.sockets:
+                faults.append(f"fleet.{key}: only real processes have it: set sockets = true")
         if self.fleet.speed[0] <= 0:
             faults.append("fleet.speed: a server without speed never answers")
         if faults:
--- a/tests/certificates.py
+++ b/mulleinhall/emulator/live/authority.py
@@ -1,4 +1,4 @@
-"""Certificates for tests: an authority, and what it signs."""
+"""Certificates for plays and tests: an authority, and what it signs.  Needs requirements-tls.txt."""
 
 from __future__ import annotations
 
@@ -27,7 +27,8 @@
 
 
 class Authority:
-    """Signs certificates for 127.0.0.1 and one name; keeps them in a folder."""
+    """Signs certificates for 127.0.0.1 and one name; keeps them in a folder, the keys unencrypted unless a password
+    is given."""
 
     def __init__(self, folder: Path, name: str = "authority") -> None:
         self.folder = folder
@@ -45,7 +46,7 @@
         self.path.write_bytes(self.certificate.public_bytes(serialization.Encoding.PEM))
 
     def sign(self, name: str, begins: float = -1.0, ends: float = 30.5, password: bytes | None = None) -> Pair:
-        """`begins` and `ends` in days from now."""
+        """`begins` and `ends`: when it is valid, in days from now."""
         key, now = ec.generate_private_key(ec.SECP256R1()), datetime.now(UTC)
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         signed = (
--- a/mulleinhall/emulator/live/clients.py
+++ b/mulleinhall/emulator/live/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from typing import cast
 
@@ -13,6 +14,7 @@
 from mulleinhall.emulator.kernel import Clock
 
 NOTHING = object()
+TLS_NAME = "ingress"  # in the certificate of a play's ingresses
 MOST_WAITING = 10_000  # requests of one client process at one ingress
 
 
@@ -103,8 +105,9 @@
 class Caller:
     """All connections to one ingress, as `mulleinhall.emulator.gateways.Taker`."""
 
-    def __init__(self, kernel: Clock, number: int, address: tuple[str, int], checks: Checks) -> None:
-        self.kernel, self.number, self.address, self.checks = kernel, number, address, checks
+    def __init__(self, kernel: Clock, number: int, address: tuple[str, int], checks: Checks,
+                 tls: ssl.SSLContext | None = None) -> None:
+        self.kernel, self.number, self.address, self.checks, self.tls = kernel, number, address, checks, tls
         self.front: Front
         self.life, self.up = 0, False
         self.connections: set[Connection] = set()
@@ -140,7 +143,8 @@
     async def _open(self, held: Held, event: api.Request) -> None:
         try:
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: Connection(self), *self.address)
+                lambda: Connection(self), *self.address, ssl=self.tls,
+                server_hostname=TLS_NAME if self.tls else None)
         except OSError:
             self._cut(held)
             return
--- a/mulleinhall/emulator/live/ingress.py
+++ b/mulleinhall/emulator/live/ingress.py
@@ -68,7 +68,10 @@
     """The process; `folder` holds its configuration and its log, which a later start appends to.  `label` tells
     one from others of the same ingress, which share its name and its temporary folder."""
 
-    def __init__(self, name: str, listen: Address, control: Address, folder: Path, label: str = "") -> None:
+    def __init__(self, name: str, listen: Address, control: Address, folder: Path, label: str = "",
+                 tree: Path | None = None) -> None:
+        """`tree`: a folder with the package to run, in place of this one."""
+        self.tree = tree
         self.name, self.listen, self.control, self.folder = name, listen, control, folder
         self.label = label or name
         self.path = folder / f"{self.label}.json"
@@ -97,7 +100,7 @@
         with (self.folder / f"{self.label}.log").open("ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "mulleinhall", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                start_new_session=True, env=os.environ | {
+                start_new_session=True, cwd=self.tree, env=os.environ | {
                     "EDGE_CONFIG": str(self.path), "TMPDIR": str(temporary), "EDGE_LOG": "requests"})
         try:
             async with asyncio.timeout(READY):
--- a/mulleinhall/emulator/live/play.py
+++ b/mulleinhall/emulator/live/play.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import signal
+import ssl
 import time
 from collections.abc import Coroutine
 from dataclasses import replace
@@ -21,7 +22,7 @@
 from mulleinhall.emulator.experiment import Experiment, PlanKind
 from mulleinhall.emulator.gateways import Held
 from mulleinhall.emulator.live.agent import Agent
-from mulleinhall.emulator.live.clients import Caller, Checks
+from mulleinhall.emulator.live.clients import TLS_NAME, Caller, Checks
 from mulleinhall.emulator.live.counter import Counter
 from mulleinhall.emulator.live.ingress import NotReady, Process, call, wire_settings
 from mulleinhall.emulator.live.kernel import RealKernel
@@ -33,6 +34,7 @@
 LATE = 0.02  # s: when this process was so late itself, nobody is blamed for an answer out of time
 TURNED_DOWN = "app.turned_down."
 STATES = ("healthy", "suspect", "ejected", "trial")
+SERVER_NAME = "server"  # in the certificate of a play's servers
 END = 5.0  # s for a process to end at the end of the day
 CLIENT_PORT, CONTROL_PORT = 6379, 7001
 
@@ -48,12 +50,26 @@
     return found
 
 
+class Secure:
+    """What both sides of the ingresses need to speak TLS, made for one play."""
+
+    def __init__(self, folder: Path) -> None:
+        from mulleinhall.emulator.live.authority import Authority
+
+        authority = Authority(folder)
+        listener, backend = authority.sign(TLS_NAME), authority.sign(SERVER_NAME)
+        self.keys = {"tls": listener.spec(), "server-tls": {"ca": str(authority.path.absolute()), "name": SERVER_NAME}}
+        self.client = ssl.create_default_context(cafile=str(authority.path))
+        self.server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.server.load_cert_chain(backend.certificate, backend.key)
+
+
 class LiveGateway(Caller):
     """One ingress: its process, its agent, the clients' connections, and what it was told."""
 
     def __init__(self, kernel: RealKernel, number: int, process: Process, agent: Agent,
-                 checks: Checks) -> None:
-        super().__init__(kernel, number, process.listen, checks)
+                 checks: Checks, tls: ssl.SSLContext | None = None) -> None:
+        super().__init__(kernel, number, process.listen, checks, tls)
         self.process, self.agent, self.paused = process, agent, False
         self.leaving: dict[str, float] = {}  # when it was told that a server leaves
         self.starts: dict[str, float] = {}
@@ -76,6 +92,7 @@
         self.file = (folder / "emulator.log").open("w", encoding="utf-8")
         self.lines = structlog.wrap_logger(
             structlog.PrintLogger(self.file), processors=[structlog.processors.JSONRenderer()])
+        self.secure = Secure(folder / "pki") if experiment.fleet.tls else None
         self.stand_ins: dict[str, StandIn] = {}
         for server in list(self.servers.values()):
             self._stand_in(server)
@@ -91,7 +108,7 @@
         server = super()._new_server()
         if hasattr(self, "stand_ins"):  # one that comes during the day
             stand_in = self._stand_in(server)
-            self._later(stand_in.open())
+            self._later(stand_in.open(self.secure.server if self.secure else None))
         return server
 
     def _stand_in(self, server: ServerModel) -> StandIn:
@@ -115,7 +132,7 @@
         began = time.process_time()
         try:
             for stand_in in self.stand_ins.values():
-                await stand_in.open()
+                await stand_in.open(self.secure.server if self.secure else None)
             await self.counter.open()
             await asyncio.gather(*(self._gateway(n) for n in range(self.experiment.fleet.gateways)))
             self.clients = Population(self.kernel, self.experiment, self.network, self.record, self.gateways,
@@ -144,7 +161,7 @@
         # An address of its own on the loopback net: the same after each start, and no other play's.
         host = f"127.{64 + os.getpid() // 256 % 128}.{os.getpid() % 256}.{10 + number}"
         process = Process(f"n{number}", (host, CLIENT_PORT), (host, CONTROL_PORT), self.folder)
-        gateway = LiveGateway(self.kernel, number, process, agent, self)
+        gateway = LiveGateway(self.kernel, number, process, agent, self, self.secure.client if self.secure else None)
         gateway.taken = self._taken
         self.gateways.append(gateway)
         self.gateways.sort(key=lambda one: one.number)
@@ -157,8 +174,11 @@
         fleet = self.experiment.fleet
         settings = wire_settings(settings_of(self.experiment, gateway.number, self.plans),
                                  fleet.connect_timeout_ms / 1000, fleet.idle_s)
+        more: dict[str, Any] = dict(self.secure.keys) if self.secure is not None else {}
+        if fleet.checkpoint:
+            more["checkpoint"] = {"folder": str((self.folder / "kept").absolute()), "every_s": 1.0}
         gateway.process.write(gateway.agent.address, self.counter.address, gateway.agent.known(),
-                              self.seed * 1000 + gateway.number, settings)
+                              self.seed * 1000 + gateway.number, settings, **more)
 
     def _unix_entry(self, entry: api.Backend) -> api.Backend:
         """Discovery speaks of starts in Unix time."""
--- a/mulleinhall/emulator/live/servers.py
+++ b/mulleinhall/emulator/live/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections import deque
 from typing import Protocol, cast
 
@@ -172,10 +173,10 @@
         self.listener: asyncio.Server | None = None
         self.address = ("", 0)
 
-    async def open(self) -> None:
+    async def open(self, tls: ssl.SSLContext | None = None) -> None:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Talk(self), "127.0.0.1", self.address[1],
-                                                 reuse_address=True)
+                                                 reuse_address=True, ssl=tls)
         self.address = self.listener.sockets[0].getsockname()
 
     def vanish(self) -> None:
--- a/mulleinhall/emulator/live/upgrades.py
+++ b/mulleinhall/emulator/live/upgrades.py
@@ -72,6 +72,7 @@
     servers: list[dict[str, object]]
     served: dict[bytes, int]
     more: dict[str, Any]
+    trees: list[Path | None]  # the packages that are started, in turn
     running: list[Process] = field(default_factory=list)
     spawned: list[Process] = field(default_factory=list)
     refill: float = 1e6  # units a second of the plan that is not bound
@@ -86,7 +87,8 @@
 
     async def start(self) -> Process:
         number = len(self.spawned) + 1
-        process = Process("n0", (self.host, CLIENT_PORT), (self.host, CONTROL_PORT + number), self.folder, f"p{number}")
+        process = Process("n0", (self.host, CLIENT_PORT), (self.host, CONTROL_PORT + number), self.folder, f"p{number}",
+                          self.trees[(number - 1) % len(self.trees)])
         self.spawned.append(process)
         process.write((self.host, 1), None, {"version": 1, "full": True, "servers": self.servers}, number,
                       wire_settings(self.settings(), 0.25, 15.0), **self.more)
@@ -101,7 +103,8 @@
 
 
 @asynccontextmanager
-async def ingress(servers: int = 4, more: dict[str, Any] | None = None) -> AsyncIterator[Ingress]:
+async def ingress(servers: int = 4, more: dict[str, Any] | None = None,
+                  trees: list[Path | None] | None = None) -> AsyncIterator[Ingress]:
     """An address of its own on the loopback net, and a folder that goes when it is over."""
     served: dict[bytes, int] = {}
     loop = asyncio.get_running_loop()
@@ -112,7 +115,7 @@
         {"id": f"s{n}", "addr": f"{address[0]}:{address[1]}", "zone": "a", "kind": "m", "cell": n, "state": "ready",
          "weight": 1.0, "started_ms": 0} for n in range(servers)]
     with tempfile.TemporaryDirectory() as folder:
-        found = Ingress(Path(folder), host, rows, served, more or {})
+        found = Ingress(Path(folder), host, rows, served, more or {}, trees or [None])
         try:
             yield found
         finally:
@@ -150,7 +153,8 @@
     [own] = [line for line in lines if "(this one)" in line]
     return View(tuple((line.split()[1], " leads" in line, " accepts" in line, " silent" in line) for line in lines),
                 _pair(text, r"total: (\d+) from clients, (\d+) to"), _pair(own, r"of (-?\d+)\+(-?\d+)"),
-                *_pair(text, r"links: \d+, (\d+) messages told, (\d+) bytes"))
+                # A build from before they were counted shows none.
+                *(_pair(text, r"links: \d+, (\d+) messages told, (\d+) bytes") if "links: " in text else (0, 0)))
 
 
 async def settle(one: Ingress) -> float:
@@ -253,11 +257,12 @@
             self.talk = None
 
 
-async def upgrades(count: int, clients: int, told: Callable[[int], None]) -> dict[str, float]:
+async def upgrades(count: int, clients: int, told: Callable[[int], None],
+                   trees: list[Path | None]) -> dict[str, float]:
     """Upgrades one after the other under load; `told` hears of each.  `over`: units beyond what the ceiling of one
     customer allows from the start, with its slack; `settle_max`: s after the end of the old process."""
     tally, over, slowest = Tally(), asyncio.Event(), 0.0
-    async with ingress() as one:
+    async with ingress(trees=trees) as one:
         old = await one.start()
         began = time.monotonic()
 
@@ -290,15 +295,18 @@
                 "over": max(0.0, one.served.get(b"%016x" % 7, 0) - allowed), "settle_max": round(slowest, 3)}
 
 
-def measure(chains: list[int], count: int, clients: int, told: Callable[[str], None]) -> dict[str, Any]:
-    """`chains`: processes of each chain that is measured; then `count` upgrades under load of `clients`."""
+def measure(chains: list[int], count: int, clients: int, told: Callable[[str], None],
+            before: Path | None = None) -> dict[str, Any]:
+    """`chains`: processes of each chain that is measured; then `count` upgrades under load of `clients`.  `before`:
+    a folder with another build, from which every other upgrade comes and to which every other goes back."""
     async def day() -> dict[str, Any]:
         found: dict[str, Any] = {"chains": {}}
         for size in chains:
             told(f"a chain of {size}")
             found["chains"][size] = {key: round(value, 3) for key, value in (await chain(size)).items()}
         if count:
-            found["upgrades"] = await upgrades(count, clients, lambda number: told(f"upgrade {number} of {count}"))
+            found["upgrades"] = await upgrades(count, clients, lambda number: told(f"upgrade {number} of {count}"),
+                                               [before, None] if before is not None else [None])
         return found
 
     with contextlib.suppress(KeyboardInterrupt):
--- a/tests/test_emulator_live.py
+++ b/tests/test_emulator_live.py
@@ -5,6 +5,7 @@
 import asyncio
 import fcntl
 import json
+import re
 import signal
 import struct
 import termios
@@ -17,7 +18,7 @@
 import pytest
 
 from mulleinhall.emulator.clients import Population
-from mulleinhall.emulator.experiment import Experiment, build
+from mulleinhall.emulator.experiment import BadExperiment, Experiment, build
 from mulleinhall.emulator.follow import follow
 from mulleinhall.emulator.gateways import Held
 from mulleinhall.emulator.kernel import streams
@@ -293,6 +294,22 @@
     run(body())
 
 
+def test_an_ingress_killed_under_tls_goes_on_from_its_checkpoint(tmp_path: Path) -> None:
+    found = play(experiment(
+        seconds=3.0, fleet={"gateways": 2, "servers": 3, "cold_s": 1, "tls": True, "checkpoint": True},
+        load={"rate": 30, "spread": 1.0, "work_ms": 20, "notice_s": [0.3, 0.5]},
+        plans=[{"name": "society", "rate": 1, "burst": 8}],
+        faults=[{"kind": "kill-gateways", "at": 1.5, "lasts": 0.5, "share": 1.0}]), tmp_path)
+    exact = found["exact"]
+    assert exact["broken"] == {}, exact["breaks"]
+    assert exact["totals"]["gateways killed"] == 2 and exact["totals"]["served"] > 10
+    words = "".join(path.read_text() for path in tmp_path.glob("n*.log"))
+    assert len(re.findall(r"checkpoint: \d+ customers and 3 servers, with \d+ records", words)) == 2
+    assert all(any(line == "app.checkpoint.on:1|g" for line in lines) for lines in found["ingress"]["figures"].values())
+    with pytest.raises(BadExperiment, match=r"fleet\.tls: only real processes have it"):
+        build({"name": "x", "fleet": {"tls": True}})
+
+
 def test_figures_are_read_and_what_is_none_is_left_out() -> None:
     assert read_figures("app.health.healthy:3|g\napp.turned_down.quota:12|c\n\neof\napp.odd:x|c\n") == {
         "app.health.healthy": 3.0, "app.turned_down.quota": 12.0}
--- a/tests/test_mothdrift_live.py
+++ b/tests/test_mothdrift_live.py
@@ -10,7 +10,8 @@
 
 
 def test_upgrades_are_measured_and_lose_nothing() -> None:
-    said = CliRunner().invoke(main, ["upgrades", "--chain", "3", "--upgrades", "2", "--clients", "2", "--json"])
+    said = CliRunner().invoke(main, ["upgrades", "--chain", "3", "--upgrades", "2", "--clients", "2", "--from", "HEAD",
+                                     "--json"])
     assert said.exit_code == 0, said.output
     found = json.loads(said.output[said.output.index("{"):])
     assert {"come", "paused", "messages_s", "eldest_killed"} <= found["chains"]["3"].keys()
@@ -18,6 +19,11 @@
     assert found["upgrades"]["answered"] > 10 and found["upgrades"]["refused"] > 0
 
 
+def test_a_revision_that_there_is_not_is_bad_input() -> None:
+    said = CliRunner().invoke(main, ["upgrades", "--from", "no-such-thing"])
+    assert said.exit_code == 2 and "no-such-thing" in said.output
+
+
 def test_starts_after_a_crash_are_measured_on_states_that_were_recovered() -> None:
     said = CliRunner().invoke(main, ["recovery", "--size", "10", "--size", "300", "--json"])
     assert said.exit_code == 0, said.output
--- a/tests/test_net_tls.py
+++ b/tests/test_net_tls.py
@@ -14,11 +14,11 @@
 
 import pytest
 
+from mulleinhall.emulator.live.authority import Authority, Pair
 from mulleinhall.interface import Outcome
 from mulleinhall.net.config import BadConfig, read_config
 from mulleinhall.net.resp import LARGEST
 from mulleinhall.net.tls import read_tls
-from tests.certificates import Authority, Pair
 from tests.peers import (
     Address,
     Caller,
