Count a request's time from when its last byte came, also where it waited unread

Lines at fault: Client.data_received took the read for the arrival; Ingress bound the listener before the process had caught up. Change: the listener is bound after one turn of the loop; after 20 ms without a read the system says how long the data has waited. A request left unread for 1 s under d=1500: answered after 1.5 s, 2.5 before.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -15,6 +15,8 @@
 from mulleinhall.net.handover import CannotTakeOver, Taken, socket_path, take_over
 from mulleinhall.net.ingress import Ingress
 
+BREATH = 0.001  # s
+
 
 async def follow(path: str, ingress: Ingress, reload: asyncio.Event) -> None:
     """Reads the configuration anew each time that `reload` is set; one that can't be used changes nothing."""
@@ -35,6 +37,10 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     if early:
         reload.set()  # the file that was read may have been the one before
+    if taken is None:
+        # Danger: a process that has used more than its part of the core stands still next.  What connects meanwhile
+        # would wait unseen, so the listener comes after that.
+        await asyncio.sleep(BREATH)
     ingress = Ingress(config, taken=taken, path=socket_path(config.listen))
     following = loop.create_task(follow(path, ingress, reload))
     await ingress.run(stop)
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -16,7 +16,7 @@
 from mulleinhall.net.budget import LARGEST_WINDOW, Budget
 from mulleinhall.net.clock import Clock
 from mulleinhall.net.commands import BadCommand, Command, CommandReader, bulk
-from mulleinhall.net.listener import Listener
+from mulleinhall.net.listener import Listener, unread_for
 from mulleinhall.net.resp import CommandFrames
 from mulleinhall.net.shares import Shares
 from mulleinhall.net.turns import Turns
@@ -32,6 +32,8 @@
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 IDLE = 2.0  # s without a request after which a connection may be closed
+STOOD_STILL = 0.02  # s without a read after which what is read may have waited
+MOST_BEHIND = 10.0  # s for which a process may read what came while it stood still
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while clients are let go
 LAST_COMMAND = 2.0  # s for a command to end that had begun when clients were let go
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
@@ -130,7 +132,8 @@
     def data_received(self, data: bytes) -> None:
         if self.ending:
             return
-        self.arrived = self.used = self.server.clock()
+        now = self.used = self.server.clock()
+        self.arrived = now - self.server.waited(self.sock, now)
         self._take(self.behind + data if self.behind else data)
 
     def _take(self, data: bytes) -> None:
@@ -384,6 +387,8 @@
         self.welcome = True  # what PING is told
         self.letting_go: float | None = None  # since when connections are closed as they fall idle
         self.bad, self.turned_away = 0, 0
+        # When anything was read last, of whatever connection, and until when what is read may have waited.
+        self.read_at, self.behind_until = 0.0, 0.0
         self.tls: ssl.SSLContext | None = None  # of connections that come from now on
         self.settling = False  # more connections are there than a lower limit allows
         self.turns = Turns()
@@ -398,6 +403,15 @@
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         self.door.open()
 
+    def waited(self, sock: socket.socket, now: float) -> float:
+        """How long (s) what is read now has waited unread.  Danger: a process that stood still would count a
+        request's time from when it went on, and answer when its client has gone.  The system is asked after a
+        while without a read, and for as long as what came meanwhile may take to be read."""
+        gap, self.read_at = now - self.read_at, now
+        if gap > STOOD_STILL:
+            self.behind_until = now + min(gap, MOST_BEHIND)
+        return unread_for(sock) if now <= self.behind_until else 0.0
+
     def _come(self, sock: socket.socket, peer: str) -> bool:
         """A connection was accepted; whether there is room for another."""
         if not self.shares.room(peer) and not self._trade(peer):
--- a/mulleinhall/net/listener.py
+++ b/mulleinhall/net/listener.py
@@ -7,6 +7,7 @@
 import errno
 import logging
 import socket
+import sys
 from collections.abc import Callable
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 # was sent to it that it does not acknowledge, after UNACKNOWLEDGED s.
 ALIVE_AFTER, ALIVE_EVERY, ALIVE_TRIES = 20, 5, 3
 UNACKNOWLEDGED = 10.0
+LAST_DATA = 52  # offset of tcpi_last_data_recv (ms, 32 bits) in struct tcp_info
 
 
 def keep_watch(sock: socket.socket, unacknowledged: float = UNACKNOWLEDGED) -> None:
@@ -33,6 +35,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
+def unread_for(sock: socket.socket) -> float:
+    """How long ago (s) the last byte came that the system holds for this connection; 0 where it does not tell.  From
+    `tcpi_last_data_recv` of TCP_INFO (<linux/tcp.h>)."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA + 4)
+    except OSError:
+        return 0.0
+    return int.from_bytes(info[LAST_DATA:], sys.byteorder) / 1000 if len(info) == LAST_DATA + 4 else 0.0
+
+
 class Listener:
     """`taken(sock, peer)` gets each connection with the address it comes from, and says whether there is room for
     another; once there is again, `room` must be called."""
--- a/tests/test_net_connections.py
+++ b/tests/test_net_connections.py
@@ -26,7 +26,7 @@
 from mulleinhall.interface import Backend, Outcome
 from mulleinhall.net import backends as pools
 from mulleinhall.net import clients, listener
-from mulleinhall.net.listener import Listener
+from mulleinhall.net.listener import Listener, unread_for
 from mulleinhall.net.shares import Shares
 from tests.peers import (
     Address,
@@ -452,3 +452,44 @@
                 child.stdout.close()
 
     run(body())
+
+
+# Time that nobody saw pass
+
+def test_a_request_that_waited_unread_has_so_much_less_time() -> None:
+    """Found on the full fleet's herd day: what came while a process was starting was answered by its own clock, after
+    the client's time."""
+    async def body() -> None:
+        async with backend(b"") as silent, serving(config(entry(silent.address))) as (served, address):
+            for fresh in (False, True):  # on a connection that was read before, and on one that waits to be accepted
+                sock = socket.create_connection(address)
+                caller = Caller(*await asyncio.open_connection(sock=sock)) if not fresh else None
+                if caller is not None:
+                    assert await caller.ask(resp(b"PING")) == b"PONG"
+                began = time.monotonic()
+                sock.send(command(d=1500))
+                time.sleep(1.0)  # the process stands still
+                caller = caller or Caller(*await asyncio.open_connection(sock=sock))
+                answer = await caller.answer()
+                assert isinstance(answer, hiredis.ReplyError)
+                assert 1.0 < time.monotonic() - began < 2.2, "by the process's own clock it is 2.5"
+                caller.writer.close()
+            assert served.figures.outstanding == 0
+
+    run(body())
+
+
+def test_what_is_read_again_and_again_has_not_waited() -> None:
+    one, other = socket.socketpair()
+    with one, other:
+        assert unread_for(one) == 0.0  # no TCP: the system does not tell
+    with socket.create_server(("127.0.0.1", 0)) as door, socket.create_connection(door.getsockname()) as there:
+        here, _ = door.accept()
+        there.sendall(b"x")
+        time.sleep(0.3)
+        assert 0.25 < unread_for(here) < 5.0
+        there.sendall(b"y")
+        while not here.recv(1 << 10).endswith(b"y"):
+            pass
+        assert unread_for(here) < 0.25
+        here.close()
