Tell the module how long a request waited unseen

Need: with the change before, a request that waited was forced to its end by its client's time while the module still counted from the read: 'a final answer was forced' in the test of short waits, once in the whole run.

--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -178,9 +178,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client asks.  `time_left` is how long it waits; `spread` gateways from number `first`
-    on are those that its customer may use.  `room`: the process can hold one more.  `pieces`: a long
-    value of it is still to come, and is passed on as it comes."""
+    """A client asks.  `time_left` is how long it waits, of which `waited` had passed before anybody saw it (s);
+    `spread` gateways from number `first` on are those that its customer may use.  `room`: the process can hold
+    one more.  `pieces`: a long value of it is still to come, and is passed on as it comes."""
 
     id: str
     request_class: str
@@ -194,6 +194,7 @@
     write: bool = False
     room: bool = True
     pieces: bool = False
+    waited: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -147,7 +147,7 @@
     def __init__(self, event: api.Request, cls: api.RequestClass, plan: api.Plan, customer: Customer,
                  now: float) -> None:
         self.id, self.cls, self.plan, self.customer, self.units = event.id, cls, plan, customer, event.units
-        self.deadline = now + event.time_left
+        self.deadline = now + event.time_left - event.waited
         self.inside = False  # its units were taken from the slice
         self.taken = False  # its first attempt was sent
         self.over = False
@@ -683,11 +683,11 @@
         if not event.repeat:
             self.first_wait[cls.name] = event.time_left
         elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
-            job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
+            job.late = cls.deadline - event.time_left + event.waited + self.fleet.mean(cls) > cls.aim
         # Danger: a process that is killed for memory loses all it holds; one that refuses loses this one.
         if not event.room:
             self._finish(now, job, "memory")
-        elif job.late and not cls.late_worth:
+        elif job.deadline <= now or (job.late and not cls.late_worth):
             self._finish(now, job, "late")
         elif plan.ceiling_rate and not customer.ceiling.fits(now, job.units):
             self._finish(now, job, "ceiling")
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -112,6 +112,7 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
+        self.waited = 0.0  # s for which what was read last had lain unread
         self.full, self.choked, self.ending = False, False, False
         self.bad = 0  # malformed commands so far
         self.waits, self.read_at = 0, self.used  # bytes that wait to be read, and since when just so many
@@ -133,7 +134,8 @@
         if self.ending:
             return
         now = self.used = self.server.clock()
-        self.arrived = now - self.server.waited(self.sock, now)
+        self.waited = self.server.waited(self.sock, now)
+        self.arrived = now - self.waited
         self._take(self.behind + data if self.behind else data)
 
     def _take(self, data: bytes) -> None:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -617,7 +617,8 @@
             self.budget.uploads += 1
         self.feed(api.Request(
             key, command.request_class, command.plan, command.customer, _wait(command), command.units,
-            command.spread, command.first, command.repeat, command.write, room, request.upload is not None))
+            command.spread, command.first, command.repeat, command.write, room, request.upload is not None,
+            slot.client.waited))
 
     def _time(self, request: Open) -> None:
         left = request.latest() - self.clock()
@@ -633,7 +634,7 @@
         if whole:
             request.deadline = arrived + request.command.wait
             self._time(request)
-            self.feed(api.Uploaded(request.key, _wait(request.command)))
+            self.feed(api.Uploaded(request.key, max(0.0, _wait(request.command) - request.slot.client.waited)))
         self._pass_up(request, request.upload)
 
     def writable(self, attempt: Attempt) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -256,3 +256,11 @@
                 beside += server.budget.rate
         assert 0.3 * bears < given <= bears
         assert beside <= 0.5 / SETTINGS.fall_time  # all others together, should every preferred one fail
+
+
+def test_the_time_that_a_request_waited_unseen_is_not_its_servers() -> None:
+    play = Play()
+    [send] = sends(play.ask(waited=1.5))
+    assert send.timeout == 2.5  # of 4
+    assert [a for a in finals(play.ask(waited=4.0)) if isinstance(a, Refuse)]  # its client has gone: nothing is sent
+    assert not sends(play.ask(waited=5.0))
