--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -372,6 +372,32 @@
     assert ends["recovered"] > most // 2
 
 
+def test_one_process_writes_and_the_other_waits_for_the_lock(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with backend() as peer:
+            settings = config(*(entry(peer.address, f"s{n}") for n in range(4)), settings=SMALL,
+                              checkpoint={"folder": str(tmp_path), "every_s": 0.1})
+            first, second = Ingress(settings), Ingress(settings)  # of one name by mistake, with no link between them
+            stops = asyncio.Event(), asyncio.Event()
+            tasks = [asyncio.create_task(first.run(stops[0]))]
+            await until(lambda: first.keeper and first.keeper.snapshots)
+            tasks.append(asyncio.create_task(second.run(stops[1])))
+            await until(lambda: second.keeper and second.keeper.task)
+            caller = await Caller.to(second.clients.listener.getsockname())
+            assert await caller.ask(command()) == b"00000000000000aa"
+            assert second.keeper and second.keeper.lock < 0 and not second.kept
+            stops[0].set()
+            await tasks[0]
+            await until(lambda: second.keeper and second.keeper.snapshots)
+            assert second.kept
+            stops[1].set()
+            await tasks[1]
+            [lock] = tmp_path.glob("*.lock")
+            assert recover(second.keeper.files, SLOW, read_times(second.clock())).why.startswith("1 customers"), lock
+
+    run(body())
+
+
 def test_a_failing_disk_is_said_and_requests_go_on(tmp_path: Path) -> None:
     async def body() -> None:
         async with backend() as peer:
