Lose power under the list's store by command, and let the disk's model be the emulator's

Need: the layer below SQLite was a test's own; staff can use it on a new build of SQLite or of the store.

--- a/mulleinhall/emulator/cli.py
+++ b/mulleinhall/emulator/cli.py
@@ -341,6 +341,31 @@
         sys.exit(BROKEN)
 
 
+@main.command()
+@click.option("--writes", type=click.IntRange(1, 10_000), default=24, show_default=True, help="Of the history.")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of what is lost and torn.")
+@click.option("--lies", is_flag=True, help="The disk says that all is safe, and keeps nothing but by chance.")
+def power(writes: int, seed: int, lies: bool) -> None:
+    """Loses power under the list service's store, after every operation of its disk.
+
+    On an honest disk nothing that was answered may be lost. On one that lies, the store has to be refused, set aside,
+    or in a state that was; on both, versions go on above all that were given.
+    """
+    from mulleinhall.emulator.power import play
+
+    logging.disable(logging.ERROR)  # what is set aside is counted here
+    with tempfile.TemporaryDirectory() as folder, Progress(console=err, transient=True) as bar:
+        row = bar.add_task("operations", total=None)
+        found = play(Path(folder), writes, seed, lies, lambda at, of: bar.update(row, completed=at, total=of))
+    logging.disable(logging.NOTSET)
+    ends = ", ".join(f"{count} {how}" for how, count in sorted(found.ends.items()))
+    click.echo(f"{found.plays} losses of power ({ends}), {len(found.wrong)} of them wrong")
+    for line in found.wrong[:20]:
+        click.echo(line)
+    if found.wrong:
+        sys.exit(BROKEN)
+
+
 @main.command()
 @click.option("--size", "sizes", type=click.IntRange(1, 1_000_000), multiple=True, default=(10, 1_000, 100_000),
               show_default=True, help="Customers of a checkpoint, entries of a list; may be given several times.")
