--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -382,19 +382,23 @@
         one = Process(tmp_path, every=0.0)
         one.spend()
         real = one.keeper.files.put
-        under_way = threading.Event()
+        under_way, written = threading.Event(), threading.Event()
 
         def slow(path: Path, pieces: Iterable[bytes]) -> None:
+            first = not under_way.is_set()
             under_way.set()
-            time.sleep(0.05)
+            if first:
+                time.sleep(0.3)
             real(path, pieces)
+            if first:
+                written.set()
 
         monkeypatch.setattr(one.keeper.files, "put", slow)
         one.keeper.start()
         await until(under_way.is_set)
         one.spend()
         await one.keeper.close(clean=True)
-        assert not one.keeper.failures
+        await until(written.is_set)
         two = Process(tmp_path)
         assert "after an orderly end" in two.found.why and round(two.level(), 2) == FULL - 2
         two.die()
