Share the pauses after busy answers of discovery among all gateways

Of 28 ingresses that start at once none gets a list again. Discovery works on each call in turn, also on those it has given up after 2 s; its room is some four calls a second. 40 ingresses that make theirs again after 0.1 to 2 s (PAUSE, LONGEST_PAUSE in net/discovery.py) send ten to twenty a second, each of which is served when nobody waits for it any more. And version 0 of the list known at first was taken for none (`version or None`): two calls in place of one, the first for a whole list.

Change: after 503 or 429 the first pause is 0.1 s times the gateways, doubled up to twice the time that the settings give between two questions; a Retry-After is kept to; silence and refused connections are asked again as before. A list at version 0 is followed by a watch.

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mulleinhall.interface import Backend, ListKind, Readiness
-from mulleinhall.net.http import HttpConnection, HttpError
+from mulleinhall.interface import Backend, ListKind, Readiness, Settings
+from mulleinhall.net.http import BusyError, HttpConnection, HttpError
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +21,17 @@
 FIRST_WAIT_MS = 4_000  # of the first watch, and of one after a failure: a lost call is noticed sooner
 ASK_TIMEOUT = 6.0  # s for a call that doesn't wait: so long the news counts as not told
 PAUSE, LONGEST_PAUSE = 0.1, 2.0  # s between tries while the agent fails, on the mean: doubled each time
+LONGEST_AFTER = 60.0  # s: a service that asks to be left alone for longer is asked again all the same
+
+
+def busy_pauses(settings: Settings) -> tuple[float, float]:
+    """The first and the longest pause, s on the mean, after an answer that discovery has no room.  Danger: it
+    works on calls that nobody waits for any more, so that calls beyond its room let none through.  All gateways
+    together begin with a call in PAUSE.  The longest keeps half as much again within the time after which an
+    ingress whose calls fail counts as told, four times `ask_within`."""
+    if not settings.ask_within:
+        return PAUSE, LONGEST_PAUSE
+    return min(PAUSE * settings.gateways, settings.ask_within / 2), 2 * settings.ask_within
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,14 +79,16 @@
 class Discovery:
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
-    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None], version: int,
-                 rng: random.Random) -> None:
-        self.told, self.rng = told, rng
+    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None], version: int | None,
+                 rng: random.Random, busy: tuple[float, float] = (PAUSE, LONGEST_PAUSE)) -> None:
+        """`version`: of the list that is held, None where there is none; `busy`: as from `busy_pauses`."""
+        self.told, self.rng, self.busy = told, rng, busy
         self.asking: asyncio.Task[None] | None = None  # the call or the pause that is on
         self.address, self.settled = address, False  # `settled`: the last call went well
-        # Of the list that is held: what changed since is enough; None asks for all of it.
-        self.version: int | None = version or None
-        self.held, self.heard = version, 0.0  # version of the list in use; when the agent last spoke, or 0
+        # Of the list that is held: what changed since is enough; None asks for all of it.  Danger: a whole list
+        # for each ingress is more than discovery has room for when all start at once.
+        self.version = version
+        self.held, self.heard = version or 0, 0.0  # version of the list in use; when the agent last spoke, or 0
 
     def begin(self, version: int) -> None:
         """Another list is held than the one known at first."""
@@ -121,12 +134,19 @@
                     if not isinstance(error, OSError | HttpError):  # a TimeoutError is an OSError
                         self.version = None
                     self.settled = False
-                    pause = min(LONGEST_PAUSE, PAUSE * 2 ** min(failures, 8))
-                    await asyncio.sleep(pause * self.rng.uniform(0.5, 1.5))
+                    await asyncio.sleep(self._pause(error, failures))
                     failures += 1
         finally:
             agent.close()
 
+    def _pause(self, error: Exception, failures: int) -> float:
+        """s until the next try after so many failures and this one."""
+        (first, longest), least = (PAUSE, LONGEST_PAUSE), 0.0
+        if isinstance(error, BusyError):
+            (first, longest), least = self.busy, min(error.after, LONGEST_AFTER)
+        pause: float = min(longest, first * 2 ** min(failures, 8)) * self.rng.uniform(0.5, 1.5)
+        return max(least, pause)
+
     async def _ask(self, agent: HttpConnection) -> None:
         query, limit = "", ASK_TIMEOUT
         if self.version is not None:
--- a/mulleinhall/net/http.py
+++ b/mulleinhall/net/http.py
@@ -14,6 +14,14 @@
     """An answer that can't be used."""
 
 
+class BusyError(HttpError):
+    """The service says that it is short of room: 429 or 503.  `after`: s that it asks to be left alone, or 0."""
+
+    def __init__(self, status: int, after: float) -> None:
+        super().__init__(f"status {status}")
+        self.after = after
+
+
 class _Answer:
     """What the parser has found so far."""
 
@@ -21,9 +29,12 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body, self.headers, self.whole, self.sized = bytearray(), False, False, False
         self.keep = False  # the connection can be used again
+        self.after = 0.0  # s: its Retry-After, where that is a number
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.sized = self.sized or name.lower() in (b"content-length", b"transfer-encoding")
+        if name.lower() == b"retry-after" and value.isdigit():
+            self.after = float(value)
 
     def on_headers_complete(self) -> None:
         self.headers = True
@@ -43,7 +54,7 @@
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def get(self, path: str) -> bytes:
-        """The body of a 200; whatever else comes is an HttpError or an OSError."""
+        """The body of a 200; BusyError where there is no room; else an HttpError or an OSError."""
         if self.streams is not None:
             try:
                 return await self._get(path, self.streams)
@@ -72,8 +83,11 @@
         finally:
             if not answer.keep:
                 self.close()
-        if answer.parser.get_status_code() != 200:
-            raise HttpError(f"status {answer.parser.get_status_code()}")
+        status = answer.parser.get_status_code()
+        if status in (429, 503):
+            raise BusyError(status, answer.after)
+        if status != 200:
+            raise HttpError(f"status {status}")
         return bytes(answer.body)
 
     def close(self) -> None:
