Let slices hold two requests where one beyond the quota costs less than it is worth

With 30 ingresses that share a customer a slice's part of the burst is a tenth of a request, so it holds one request (Customer.sizes) and takes 15 s to get the next, while half of a customer's requests come to three of its gateways.

Change: where over_cost is under 1 a slice holds two requests at the least. In a fresh process the second comes at the slice's rate: 28 that start at once would give it out at once.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -73,13 +73,15 @@
     """One customer: its slice of the quota, its ceiling's slice, its attempts out."""
 
     def __init__(self, name: str, plan: api.Plan, spread: int, most: float, now: float, fresh: float,
-                 age: float) -> None:
+                 age: float, lived: float) -> None:
         """`fresh`: what the whole ceiling holds for a customer not seen yet; `age`: s for which it has spent
-        nothing."""
+        nothing; `lived`: s since this gateway began.  Danger: many that start at once give out at once what
+        they hold beside their parts."""
         self.name, self.plan, self.spread, self.seen = name, plan, spread, now
         self.most = most
         rate, burst = self.sizes()
-        self.slice = Bucket(rate, burst, min(burst, rate * age) if rate else burst, now)
+        start = min(burst, plan.burst / spread + most + rate * lived)
+        self.slice = Bucket(rate, burst, min(start, rate * age) if rate else burst, now)
         self.ceiling = Bucket(plan.ceiling_rate / spread, plan.ceiling_burst / spread, fresh / spread, now)
         self.open, self.elsewhere = 0, 0  # attempts out from here, and from the gateway's other process
         self.open_limit = max(1, int(plan.open_limit / spread))
@@ -108,10 +110,13 @@
         self.open_limit = max(1, int(plan.open_limit / spread))
 
     def sizes(self) -> tuple[float, float]:
-        """The slice: an even part of the quota, and room for one request beside.  Danger: requests come in
-        bunches and unevenly, the more so the fewer of them a gateway sees; an even part that holds less than
-        a few requests refuses a customer that stays well inside its quota."""
-        return self.plan.rate / self.spread, min(self.plan.burst, self.plan.burst / self.spread + self.most)
+        """The slice: an even part of the quota, and room for one request beside; two at the least where it
+        costs less to send one beyond the quota than to refuse one inside.  Danger: requests come in bunches
+        and unevenly, the more so the fewer of them a gateway sees; an even part that holds less than a few
+        requests refuses a customer that stays well inside its quota."""
+        plan = self.plan
+        least = 2.0 * self.most if plan.over_cost < 1.0 else 0.0
+        return plan.rate / self.spread, min(plan.burst, max(plan.burst / self.spread + self.most, least))
 
     def untouched(self, now: float) -> bool:
         """Whether its buckets are full, or hold nobody back."""
@@ -707,12 +712,13 @@
 
     def _customer(self, now: float, name: str, plan: api.Plan, spread: int) -> Customer:
         customer, spread = self.customers.get(name), max(1, spread)
+        lived = 0.0 if self.born is None else now - self.born
         if customer is not None and customer.spread != spread:
             customer.resize(now, spread)
         if customer is None or customer.plan is not plan:
             customer = self.customers[name] = Customer(
                 name, plan, spread, self.settings.most_units, now, self._fresh(now, plan.name),
-                float("inf") if self.since is None else now - self.since)
+                float("inf") if self.since is None else now - self.since, lived)
         customer.seen = now
         return customer
 
