--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -467,6 +467,8 @@
                 child, control = await there.start()
                 caller = await Caller.to(there.address)
                 assert [await caller.ask(command(str(n))) for n in range(4)] == [b"0", b"1", b"2", b"3"]
+                while kept and not re.search(r"checkpoint\.snapshots:[1-9]", await ask(control, "show-stat")):
+                    await asyncio.sleep(0.02)  # one that is killed before its first snapshot leaves nothing to believe
                 child.send_signal(signal.SIGKILL)
                 await child.wait()
                 child, control = await there.start()
