--- a/mulleinhall/emulator/experiment.py
+++ b/mulleinhall/emulator/experiment.py
@@ -203,6 +203,13 @@
     factor: Positive = 0.8
 
 
+class ForgetServers(Timed):
+    """The list drops servers that run in one version, and has them back in another."""
+
+    kind: Literal["forget-servers"]
+    share: Share = 0.6
+
+
 class DiscoveryDown(Timed):
     kind: Literal["discovery-down"]
 
@@ -223,7 +230,7 @@
 
 Fault = Annotated[
     KillGateways | PauseGateways | RollGateways | RollServers | LoseZone | CutZone | CrashServers
-    | SpoilServers | Reload | DiscoveryDown | Burst | Lossy, Field(discriminator="kind")]
+    | SpoilServers | Reload | ForgetServers | DiscoveryDown | Burst | Lossy, Field(discriminator="kind")]
 
 
 class Version(Part):
--- a/mulleinhall/emulator/faults.py
+++ b/mulleinhall/emulator/faults.py
@@ -104,6 +104,13 @@
     stage.kernel.at(fault.at, stage.reload, fault.factor)
 
 
+@schedule.register(spec.ForgetServers)
+def _(fault: spec.ForgetServers, stage: Stage) -> None:
+    for server in _servers(stage, fault.share):
+        stage.kernel.at(fault.at, stage.forget_server, server, True)
+        stage.kernel.at(fault.at + fault.lasts, stage.forget_server, server, False)
+
+
 @schedule.register(spec.DiscoveryDown)
 def _(fault: spec.DiscoveryDown, stage: Stage) -> None:
     stage.kernel.at(fault.at, _down, stage, fault.at + fault.lasts)
--- a/mulleinhall/emulator/stage.py
+++ b/mulleinhall/emulator/stage.py
@@ -72,11 +72,12 @@
                            server.started)
 
     def _publish(self, server: ServerModel, delay: tuple[float, float],
-                 readiness: api.Readiness = api.Readiness.READY) -> None:
-        """Discovery hears of it late, and not at all of what has passed by then."""
+                 readiness: api.Readiness = api.Readiness.READY, runs: bool | None = None) -> None:
+        """Discovery hears of it late, and not at all of what has passed by then.  `runs`: as the server must be by
+        then, as a rule what `readiness` says."""
         life, entry = server.epoch, self.entry(server, readiness)
-        gone = readiness is api.Readiness.GONE
-        self.board.learn(delay, entry, lambda: server.epoch == life and server.running is not gone)
+        there = readiness is not api.Readiness.GONE if runs is None else runs
+        self.board.learn(delay, entry, lambda: server.epoch == life and server.running is there)
 
     @abstractmethod
     def reset_server(self, server: ServerModel) -> None:
@@ -106,6 +107,10 @@
             self.reset_server(server)
             self._publish(server, self.experiment.listing.add_s)
 
+    def forget_server(self, server: ServerModel, on: bool) -> None:
+        """The list has it as gone, or as ready again: it runs all the while."""
+        self._publish(server, (0.0, 0.0), api.Readiness.GONE if on else api.Readiness.READY, runs=True)
+
     def replace_server(self, server: ServerModel, warning: float) -> None:
         """It drains and goes; another takes its place at once."""
         server.draining = True
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -42,6 +42,7 @@
       for mode in ("slow", "errors", "silent", "spoilt", "refuse")),
     {"kind": "reload", "at": 1.5, "factor": 0.5},
     {"kind": "discovery-down", "at": 0.5, "lasts": 2},
+    {"kind": "forget-servers", "at": 1, "lasts": 1, "share": 0.6},
     {"kind": "burst", "at": 1, "lasts": 1, "factor": 3.0},
     {"kind": "burst", "at": 1, "lasts": 1, "factor": 9.0, "customers": 2},
     {"kind": "lossy", "at": 1, "lasts": 1, "loss": 0.1, "reset": 0.1}]
