--- a/mulleinhall/emulator/experiment.py
+++ b/mulleinhall/emulator/experiment.py
@@ -234,10 +234,12 @@
 
 
 class Version(Part):
-    """The module of a git revision; without one, as it stands in the work tree."""
+    """The module of a git revision; without one, as it stands in the work tree.  `sees`: its gateways shed by the true
+    state of all servers, which no real one can: what an estimate of waiting could gain at the most."""
 
     name: str = Field(min_length=1, pattern=r"^[\w.-]+$")
     revision: str = ""
+    sees: bool = False
 
 
 class Experiment(Part):
@@ -291,6 +293,8 @@
             faults.append(f"fleet.gateways: {self.fleet.gateways} real processes, {MOST_LIVE} at most")
         if self.sockets and any(isinstance(fault, CutZone) for fault in self.faults):
             faults.append("faults: cut-zone can't be played on real sockets, where all share one loopback")
+        if self.sockets and any(version.sees for version in self.versions):
+            faults.append("versions: one that sees the servers' state can't be played on real sockets")
         for key in ("tls", "checkpoint"):
             if getattr(self.fleet, key) and not self.sockets:
                 faults.append(f"fleet.{key}: only real processes have it: set sockets = true")
--- a/mulleinhall/emulator/play.py
+++ b/mulleinhall/emulator/play.py
@@ -25,9 +25,9 @@
 
         result = play_live(experiment, int(seed), Path(folder) / "logs" / f"{version}-{seed}")
     else:
-        from mulleinhall.emulator.world import World
+        from mulleinhall.emulator.world import World, made_by
 
-        world = World(experiment, int(seed))
+        world = World(experiment, int(seed), maker=made_by(version, experiment))
         signal.signal(signal.SIGINT, lambda number, frame: world.interrupt())
         result = world.play()
     print(json.dumps(result))
--- a/mulleinhall/emulator/servers.py
+++ b/mulleinhall/emulator/servers.py
@@ -67,6 +67,11 @@
         full = self.connections / (self.fleet.connections_per_core * self.cores)
         return self.cores * self.speed * self.warmth() * (1 - FULL_TAX * min(1.0, full))
 
+    def pace(self) -> float:
+        """Seconds of nominal work that one core does in a second now."""
+        pace = self.capacity() / self.cores / (1 + self.fleet.thrash * self._beyond())
+        return pace / self.spoilt.factor if self.spoilt is not None and self.spoilt.mode == "slow" else pace
+
     def _beyond(self) -> float:
         """Requests for each core that it holds beyond what it holds with ease."""
         return max(0.0, (self.busy + len(self.queue)) / self.cores - self.fleet.thrash_at)
@@ -101,10 +106,7 @@
 
     def _begin(self, attempt: Caller) -> None:
         self.busy += 1
-        pace = self.capacity() / self.cores / (1 + self.fleet.thrash * self._beyond())
-        if self.spoilt is not None and self.spoilt.mode == "slow":
-            pace /= self.spoilt.factor
-        took, self.debt = attempt.work / pace + self.debt, 0.0
+        took, self.debt = attempt.work / self.pace() + self.debt, 0.0
         self.kernel.after(took, self._end, attempt, self.epoch)
 
     def _end(self, attempt: Caller, epoch: int) -> None:
--- a/mulleinhall/emulator/world.py
+++ b/mulleinhall/emulator/world.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 from mulleinhall import interface as api
 from mulleinhall.emulator import faults
-from mulleinhall.emulator.clients import Population
+from mulleinhall.emulator.clients import Population, mean_work
 from mulleinhall.emulator.experiment import Experiment, PlanKind
 from mulleinhall.emulator.gateways import GatewayHost, Make
 from mulleinhall.emulator.kernel import Kernel
@@ -24,14 +25,26 @@
     return Gateway(settings, seed)
 
 
+def made_by(version: str, experiment: Experiment) -> Callable[[Stage], Make] | None:
+    """How a version of the experiment makes its gateways, where it differs; for `World`."""
+    if not any(one.name == version and one.sees for one in experiment.versions):
+        return None
+    from mulleinhall.emulator.oracle import seeing  # needs what older revisions of the module lack
+
+    return lambda stage: seeing(stage.servers, mean_work(experiment))
+
+
 class World(Stage):
     """A fleet, its clients and its troubles."""
 
     kernel: Kernel
 
-    def __init__(self, experiment: Experiment, seed: int, make: Make = make_gateway) -> None:
+    def __init__(self, experiment: Experiment, seed: int, make: Make = make_gateway,
+                 maker: Callable[[Stage], Make] | None = None) -> None:
+        """`maker`: makes `make` of what the world holds."""
         kernel = Kernel()
         super().__init__(experiment, seed, kernel)
+        make = make if maker is None else maker(self)
         self.gateways = [
             GatewayHost(kernel, experiment.fleet, self.network, self.servers, self.rules, experiment.rules,
                         self.record, number, make) for number in range(experiment.fleet.gateways)]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,9 +20,11 @@
 from mulleinhall.emulator.experiment import BadExperiment, Experiment, build, load_experiment, read_experiment
 from mulleinhall.emulator.gateways import Make
 from mulleinhall.emulator.kernel import Draws, Kernel, streams
+from mulleinhall.emulator.oracle import EASE
+from mulleinhall.emulator.oracle import JAM as SHED_ALL
 from mulleinhall.emulator.rules import Record, Rules
 from mulleinhall.emulator.shrink import shrink, to_toml
-from mulleinhall.emulator.world import World
+from mulleinhall.emulator.world import World, made_by
 from mulleinhall.logic import Gateway
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -173,6 +175,26 @@
     assert read_experiment(to_toml(small)) == small
 
 
+def test_gateways_that_see_the_servers_shed_by_their_queues() -> None:
+    one = experiment({"kind": "burst", "at": 1, "lasts": 2, "factor": 6.0},
+                     versions=[{"name": "now"}, {"name": "sees", "sees": True}])
+    assert made_by("now", one) is None
+    world = World(one, 1, maker=made_by("sees", one))
+    gateway = world.gateways[0].module
+    assert isinstance(gateway, Gateway)
+    aim, work = 0.6, one.load.work_ms / 1000
+    pace = sum(server.pace() * server.cores for server in world.servers.values()) / len(world.servers)
+    for now, held in ((10.0, 0), (20.0, 2), (30.0, 10)):
+        for server in world.servers.values():
+            server.busy = held
+        slowed = sum(server.pace() * server.cores for server in world.servers.values()) / len(world.servers)
+        assert slowed <= pace
+        aims = max(2, held) * work / slowed / aim  # two cores: what is held, one behind another, on both
+        assert gateway.fleet.pressure(now) == pytest.approx((aims - EASE) / (SHED_ALL - EASE))
+    found = World(one, 1, maker=made_by("sees", one)).play()["exact"]
+    assert found["broken"] == {} and found["totals"] != exact(one, 1)["totals"]
+
+
 def test_an_interrupted_play_tells_what_it_measured() -> None:
     world = World(experiment(seconds=3.0), 1)
     world.kernel.at(1.5, world.interrupt)
@@ -223,6 +245,7 @@
     ({"classes": [{"name": "c", "aim_s": 3.0}]}, "classes.0.deadline_s"),
     ({"listing": {"add_s": [3, 1]}}, "listing.add_s"),
     ({"sockets": True, "fleet": {"gateways": 100}}, "fleet.gateways"),
+    ({"sockets": True, "versions": [{"name": "sees", "sees": True}]}, "versions"),
     ({"seeds": [1, 1]}, "seeds")])
 def test_what_can_not_hold_together_is_named(changes: dict[str, Any], key: str) -> None:
     with pytest.raises(BadExperiment) as error:
