--- a/mulleinhall/emulator/cli.py
+++ b/mulleinhall/emulator/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import os
@@ -16,6 +17,7 @@
 import click
 import structlog
 from rich.console import Console
+from rich.live import Live
 from rich.progress import (
     BarColumn,
     MofNCompleteColumn,
@@ -390,3 +392,50 @@
         table.add_row(row["what"], f"{row['size']}", f"{row['seconds']:.3f}", f"{row['cpu']:.2f}",
                       f"{row['kept'] / 1e3:.1f}", f"{row['memory'] / 1e6:.1f}")
     out.print(table)
+
+
+@main.command()
+@click.argument("addresses", nargs=-1)
+@click.option("--from", "file", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
+              help="Second addresses, one HOST:PORT a line; read again when it changes.")
+@click.option("--every", type=click.FloatRange(0.1, 3600), default=2.0, show_default=True, help="s between two looks.")
+@click.option("--timeout", type=click.FloatRange(0.01, 60), default=1.0, show_default=True, help="s for an answer.")
+@click.option("--rate", type=click.FloatRange(1, 100_000), default=500.0, show_default=True,
+              help="Calls a second, to all ingresses together.")
+@click.option("--looks", type=click.IntRange(1), help="End after so many.")
+@click.option("--json", "as_json", is_flag=True, help="Print each look as one line of JSON.")
+def fleet(addresses: tuple[str, ...], file: Path | None, every: float, timeout: float, rate: float, looks: int | None,
+          as_json: bool) -> None:
+    """Shows what all ingresses of a fleet do together, by the second addresses ADDRESSES (HOST:PORT).
+
+    An ingress that is silent, down or answers nonsense is shown as such, and holds up no other.
+    """
+    from mulleinhall.fleet.follow import follow
+    from mulleinhall.fleet.reader import AddressFile, BadAddresses, Reader, read_addresses
+    from mulleinhall.fleet.screen import table
+
+    if bool(addresses) is bool(file):
+        stop(BAD_INPUT, "name addresses or a file of them: one of the two")
+    reader = Reader(timeout, rate)
+
+    def show(look: dict[str, Any]) -> None:
+        if as_json:
+            click.echo(json.dumps(look))
+        elif live is not None:
+            live.update(table(look), refresh=True)
+        else:
+            out.print(table(look))
+
+    try:
+        if addresses:
+            reader.follow(read_addresses("\n".join(addresses), "ADDRESSES"))
+        live = Live(console=out, auto_refresh=False) if out.is_terminal and not as_json and looks != 1 else None
+        with live or contextlib.nullcontext():
+            asyncio.run(follow(reader, AddressFile(file) if file else None, every, looks, show,
+                               lambda text: log.warning("kept the addresses", why=text)))
+    except BadAddresses as error:
+        stop(BAD_INPUT, str(error))
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())  # who read has gone: nothing is left to say
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
--- /dev/null
+++ b/mulleinhall/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What all ingresses of a fleet do together, read from their second addresses."""
