Add mothdrift exporter: the figures of a fleet in the OpenMetrics format

The two commands share their options. Measured: tests parse the text back: names, units, kinds, values equal to a real ingress's 12 requests, a silent one down with none of its old figures, labels bounded and quoted. Not shown: latency histograms, which an ingress does not report.

--- a/mulleinhall/emulator/cli.py
+++ b/mulleinhall/emulator/cli.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -34,6 +35,7 @@
 from mulleinhall.emulator.runner import Runner, Task
 from mulleinhall.emulator.shrink import shrink, to_toml
 from mulleinhall.emulator.versions import NoSuchVersion, lay_out
+from mulleinhall.fleet.reader import AddressFile, BadAddresses, Reader, read_addresses
 
 BROKEN, BAD_INPUT, FAILED, INTERRUPTED = 1, 2, 3, 130
 FOUND = Path("found")
@@ -394,14 +396,38 @@
     out.print(table)
 
 
+def _fleet_options(command: Callable[..., None]) -> Callable[..., None]:
+    """What the commands that read a fleet share."""
+    for option in (
+            click.option("--rate", type=click.FloatRange(1, 100_000), default=500.0, show_default=True,
+                         help="Calls a second, to all ingresses together."),
+            click.option("--timeout", type=click.FloatRange(0.01, 60), default=1.0, show_default=True,
+                         help="s for an answer."),
+            click.option("--every", type=click.FloatRange(0.1, 3600), default=2.0, show_default=True,
+                         help="s between two looks."),
+            click.option("--from", "file", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
+                         help="Second addresses, one HOST:PORT a line; read again when it changes."),
+            click.argument("addresses", nargs=-1)):
+        command = option(command)
+    return command
+
+
+def _reader(addresses: tuple[str, ...], file: Path | None, timeout: float, rate: float) -> Reader:
+    """BadAddresses."""
+    if bool(addresses) is bool(file):
+        raise BadAddresses("name addresses or a file of them: one of the two")
+    reader = Reader(timeout, rate)
+    if addresses:
+        reader.follow(read_addresses("\n".join(addresses), "ADDRESSES"))
+    return reader
+
+
+def _kept(why: str) -> None:
+    log.warning("kept the addresses", why=why)
+
+
 @main.command()
-@click.argument("addresses", nargs=-1)
-@click.option("--from", "file", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
-              help="Second addresses, one HOST:PORT a line; read again when it changes.")
-@click.option("--every", type=click.FloatRange(0.1, 3600), default=2.0, show_default=True, help="s between two looks.")
-@click.option("--timeout", type=click.FloatRange(0.01, 60), default=1.0, show_default=True, help="s for an answer.")
-@click.option("--rate", type=click.FloatRange(1, 100_000), default=500.0, show_default=True,
-              help="Calls a second, to all ingresses together.")
+@_fleet_options
 @click.option("--looks", type=click.IntRange(1), help="End after so many.")
 @click.option("--json", "as_json", is_flag=True, help="Print each look as one line of JSON.")
 def fleet(addresses: tuple[str, ...], file: Path | None, every: float, timeout: float, rate: float, looks: int | None,
@@ -411,12 +437,9 @@
     An ingress that is silent, down or answers nonsense is shown as such, and holds up no other.
     """
     from mulleinhall.fleet.follow import follow
-    from mulleinhall.fleet.reader import AddressFile, BadAddresses, Reader, read_addresses
     from mulleinhall.fleet.screen import table
 
-    if bool(addresses) is bool(file):
-        stop(BAD_INPUT, "name addresses or a file of them: one of the two")
-    reader = Reader(timeout, rate)
+    live = Live(console=out, auto_refresh=False) if out.is_terminal and not as_json and looks != 1 else None
 
     def show(look: dict[str, Any]) -> None:
         if as_json:
@@ -427,15 +450,34 @@
             out.print(table(look))
 
     try:
-        if addresses:
-            reader.follow(read_addresses("\n".join(addresses), "ADDRESSES"))
-        live = Live(console=out, auto_refresh=False) if out.is_terminal and not as_json and looks != 1 else None
+        reader = _reader(addresses, file, timeout, rate)
         with live or contextlib.nullcontext():
-            asyncio.run(follow(reader, AddressFile(file) if file else None, every, looks, show,
-                               lambda text: log.warning("kept the addresses", why=text)))
+            asyncio.run(follow(reader, AddressFile(file) if file else None, every, looks, show, _kept))
     except BadAddresses as error:
         stop(BAD_INPUT, str(error))
     except BrokenPipeError:
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())  # who read has gone: nothing is left to say
     except KeyboardInterrupt:
         sys.exit(INTERRUPTED)
+
+
+@main.command()
+@_fleet_options
+@click.option("--listen", default="127.0.0.1:9464", show_default=True, metavar="HOST:PORT",
+              help="Where it is scraped: /metrics.")
+def exporter(addresses: tuple[str, ...], file: Path | None, every: float, timeout: float, rate: float,
+             listen: str) -> None:
+    """Answers a metrics system with the figures of a fleet (OpenMetrics), by the second addresses ADDRESSES."""
+    from mulleinhall.fleet.exporter import export
+
+    try:
+        [(host, port)] = read_addresses(listen, "--listen")
+        reader = _reader(addresses, file, timeout, rate)
+        asyncio.run(export(reader, AddressFile(file) if file else None, every, host, port,
+                           lambda port: log.info("is scraped at", address=f"http://{host}:{port}/metrics"), _kept))
+    except BadAddresses as error:
+        stop(BAD_INPUT, str(error))
+    except OSError as error:
+        stop(BAD_INPUT, f"--listen: {listen}: {error.strerror or error}")
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
--- /dev/null
+++ b/tests/test_exporter.py
@@ -0,0 +1,150 @@
+"""What a metrics system reads of a fleet: parsed back from the text that it is given."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import subprocess
+import sys
+import urllib.request
+
+import pytest
+from prometheus_client import CollectorRegistry
+from prometheus_client.openmetrics.exposition import generate_latest
+from prometheus_client.openmetrics.parser import text_string_to_metric_families as parse
+
+from mulleinhall.fleet import exporter
+from mulleinhall.fleet.exporter import FAMILIES, LEFT_OUT, FleetCollector, export
+from mulleinhall.fleet.reader import Ingress, Reader, State
+from mulleinhall.net.figures import End, Figures
+
+from .peers import Address, Caller, backend, command, config, entry, run, until
+from .test_net_control import SECOND
+from .test_net_ingress import serving
+
+Sample = tuple[str, frozenset[tuple[str, str]]]
+
+
+def said(*figures: str, name: str = "a", state: State = State.OK) -> Ingress:
+    one = Ingress((name, 1))
+    one.take("\n".join([*figures, "eof"]), 1.0)
+    one.state = state
+    return one
+
+
+def read(*ingresses: Ingress) -> dict[Sample, float]:
+    reader = Reader(1.0, 1.0)
+    reader.ingresses = {one.address: one for one in ingresses}
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(FleetCollector(reader))
+    return samples(generate_latest(registry).decode())  # type: ignore[no-untyped-call]
+
+
+def samples(text: str) -> dict[Sample, float]:
+    found: dict[Sample, float] = {}
+    for family in parse(text):  # type: ignore[no-untyped-call]
+        for one in family.samples:
+            key = one.name, frozenset(one.labels.items())
+            assert key not in found
+            found[key] = one.value
+    return found
+
+
+def at(name: str, **labels: str) -> Sample:
+    every = {"ingress": "a:1"} | {key.rstrip("_"): value for key, value in labels.items()}
+    return f"mothdrift_{name}", frozenset(every.items())
+
+
+def test_each_figure_of_an_ingress_has_its_name_unit_and_kind() -> None:
+    found = read(said(
+        "app.results.schedule-read.succeeded:7|c", "app.results.schedule-read.declined:2|c", "app.forwards:9|c",
+        "app.outstanding:3|g", "app.turned_down.quota:2|c", "app.list.age_ms:1500|g", "app.health.healthy:12|g",
+        "app.ejections.timed_out:1|c", "app.ejections:1|c", "app.connections.servers:4|g"))
+    assert found[at("up")] == 1 and found[at("restarts_total")] == 0
+    assert found[at("requests_total", class_="schedule-read", result="succeeded")] == 7
+    assert found[at("requests_total", class_="schedule-read", result="declined")] == 2
+    assert found[at("forwards_total")] == 9 and found[at("outstanding_requests")] == 3
+    assert found[at("turned_down_total", reason="quota")] == 2
+    assert found[at("list_age_seconds")] == 1.5
+    assert found[at("health_servers", state="healthy")] == 12
+    assert found[at("ejections_total", reason="timed_out")] == 1
+    assert found[at("open_connections", side="servers")] == 4
+    assert len(found) == 11  # the sum over all reasons is not said beside its parts
+
+
+def test_one_that_does_not_answer_is_down_and_says_nothing() -> None:
+    found = read(said("app.forwards:9|c"), said("app.forwards:8|c", name="b", state=State.SILENT))
+    assert found[at("up")] == 1 and found["mothdrift_up", frozenset({("ingress", "b:1")})] == 0
+    assert [key for key in found if key[0] == "mothdrift_forwards_total"] == [at("forwards_total")]
+
+
+def test_labels_are_bounded_and_quoted_and_what_is_beyond_adds_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(exporter, "MOST_VALUES", 2)
+    found = read(said(*(f"app.turned_down.r{n}:{n}|c" for n in range(1, 6)),
+                      *(f'app.results.c"{n}\\.succeeded:1|c' for n in range(4))))
+    reasons = {dict(labels)["reason"]: value for (name, labels), value in found.items() if "turned_down" in name}
+    assert reasons == {"r1": 1, "r2": 2, LEFT_OUT: 12}
+    classes = {dict(labels)["class"]: value for (name, labels), value in found.items() if "requests" in name}
+    assert classes == {'c"0\\': 1, 'c"1\\': 1, LEFT_OUT: 2}
+
+
+def test_names_keep_to_the_conventions() -> None:
+    names = [name for _, name, _, _, _ in FAMILIES]
+    assert len(set(names)) == len(names)
+    assert not [name for name in names if name.endswith(("_total", "_ms", "_count", "_sum", "_bucket"))]
+
+
+
+
+def scrape(url: str) -> dict[Sample, float]:
+    asked = urllib.request.Request(url, headers={"Accept": "application/openmetrics-text; version=1.0.0"})
+    with urllib.request.urlopen(asked, timeout=10) as answer:
+        assert answer.headers["Content-Type"].startswith("application/openmetrics-text")
+        return samples(answer.read().decode())
+
+
+def test_a_scrape_tells_what_a_real_ingress_has_done() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address), control=SECOND)) as (served, address):
+            assert served.control is not None
+            second: Address = served.control.listener.getsockname()
+            caller = await Caller.to(address)
+            for n in range(12):
+                assert await caller.ask(command(f"{n:016x}")) == b"%016x" % n
+            reader, ports = Reader(2.0, 100.0), list[int]()
+            reader.follow([second])
+            exporting = asyncio.create_task(export(reader, None, 0.05, "127.0.0.1", 0, ports.append, pytest.fail))
+            await until(lambda: ports and all(one.state is State.OK for one in reader.ingresses.values()))
+            found = await asyncio.to_thread(scrape, f"http://127.0.0.1:{ports[0]}/metrics")
+            name = f"{second[0]}:{second[1]}"
+            mine = {key: value for key, value in found.items() if ("ingress", name) in key[1]}
+            assert mine == found
+            labels = frozenset({("ingress", name), ("class", "read"), ("result", "succeeded")})
+            assert found["mothdrift_requests_total", labels] == 12
+            assert found["mothdrift_forwards_total", frozenset({("ingress", name)})] == 12
+            exporting.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await exporting
+
+    run(body())
+
+
+def test_all_that_an_ingress_reports_of_requests_is_told() -> None:
+    figures = Figures(["read", "order"])
+    figures.taken()
+    figures.ended("order", End.ABORTED)
+    found = read(said(*figures.lines(5, 1, {"list.version": 3})))
+    assert sum(value for (name, _), value in found.items() if name == "mothdrift_requests_total") == 1
+    assert found[at("requests_total", class_="order", result="aborted")] == 1
+    assert found[at("discovered_servers")] == 5 and found[at("avoided_servers")] == 1 and found[at("list_version")] == 3
+
+
+def test_an_address_that_is_taken_or_none_is_one_line_and_status_2() -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        for listen in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere"):
+            done = subprocess.run([sys.executable, "-m", "mulleinhall.emulator", "exporter", "127.0.0.1:1", "--listen",
+                                   listen], capture_output=True, text=True, check=False)
+            assert done.returncode == 2 and "--listen" in done.stderr and "Traceback" not in done.stderr
