--- a/mulleinhall/emulator/cli.py
+++ b/mulleinhall/emulator/cli.py
@@ -481,3 +481,28 @@
         stop(BAD_INPUT, f"--listen: {listen}: {error.strerror or error}")
     except KeyboardInterrupt:
         sys.exit(INTERRUPTED)
+
+
+@main.command()
+@click.argument("logs", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--since", type=float, default=float("-inf"), help="Unix time, s: what came before is left out.")
+@click.option("--until", type=float, default=float("inf"), help="Unix time, s: what came then or later is left out.")
+@click.option("--json", "as_json", is_flag=True, help="Print the account as JSON.")
+def explain(logs: tuple[Path, ...], since: float, until: float, as_json: bool) -> None:
+    """Says what happened, by the JSON logs LOGS of any number of ingresses: files, or folders of *.log files.
+
+    Which servers and ingresses stand out, with lines that show it. EDGE_LOG=requests tells most. A file is one
+    ingress's, named up to its first dot; rotated and compressed (.gz) ones go together.
+    """
+    from mulleinhall.fleet.explain import explain as account
+    from mulleinhall.fleet.explain import told
+
+    if not since < until:
+        stop(BAD_INPUT, "--since has to be before --until")
+    try:
+        found = account(logs, since, until)
+    except FileNotFoundError as error:
+        stop(BAD_INPUT, str(error))
+    click.echo(json.dumps(found) if as_json else "\n".join(told(found)))
+    if found["window"] is None:
+        stop(BAD_INPUT, "no line of these logs could be taken: are they written with EDGE_LOG=json, in this window?")
--- a/mulleinhall/fleet/view.py
+++ b/mulleinhall/fleet/view.py
@@ -33,13 +33,13 @@
     return found
 
 
-def outliers(values: dict[str, float]) -> dict[str, float]:
-    """Those that lie far from the median, by the median distance from it."""
+def outliers(values: dict[str, float], part: float = LEAST) -> dict[str, float]:
+    """Those that lie far from the median, by the median distance from it and by that part of it at the least."""
     if len(values) < FEW:
         return {}
     middle = median(values.values())
     usual = USUAL * median(abs(value - middle) for value in values.values())
-    least = max(LEAST * abs(middle), LEAST_LISTED if middle >= 1 else LEAST)
+    least = max(part * abs(middle), LEAST_LISTED if middle >= 1 else LEAST)
     return {name: value for name, value in values.items() if abs(value - middle) > max(FAR * usual, least)}
 
 
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -73,12 +73,13 @@
 class Open:
     """An open request."""
 
-    __slots__ = ("answered", "command", "deadline", "key", "out", "passing", "size", "slot", "timer", "tries",
-                 "upload")
+    __slots__ = ("answered", "command", "deadline", "key", "out", "passing", "reason", "size", "slot", "timer",
+                 "tries", "upload")
 
     def __init__(self, key: str, slot: Slot, command: Command, deadline: float) -> None:
         self.key, self.slot, self.command, self.deadline = key, slot, command, deadline
         self.tries, self.answered = 0, False
+        self.reason = ""  # of the module's own final answer
         self.size = BASE_COST + sum(map(len, command.words))
         self.out: set[Attempt] = set()
         self.passing: Attempt | None = None  # the one whose value the client gets in pieces
@@ -707,9 +708,15 @@
         arrived = request.deadline - command.wait
         REQUESTS.info(end.value, extra={"fields": {
             "id": command.words[2].decode("ascii", "backslashreplace"), "class": command.request_class,
-            "plan": command.plan, "customer": command.customer, "attempts": request.tries,
+            "plan": command.plan, "customer": command.customer, "attempts": request.tries, "reason": request.reason,
             "ms": round(1000 * (self.clock() - arrived), 3)}})
 
+    def _note_attempt(self, attempt: Attempt, outcome: api.Outcome, request: Open | None) -> None:
+        """A line of the log; the request may be over already."""
+        REQUESTS.info("attempt", extra={"fields": {
+            "id": request.command.words[2].decode("ascii", "backslashreplace") if request is not None else "",
+            "server": attempt.backend, "outcome": outcome.value, "ms": round(1000 * (self.clock() - attempt.sent), 3)}})
+
     def _forget(self, key: str) -> None:
         """The module knows that the request is over."""
         request = self.open.pop(key, None)
@@ -719,6 +726,7 @@
     # Discovery and backends
 
     def listed(self, kind: api.ListKind, listing: Listing) -> None:
+        REQUESTS.info("list", extra={"fields": {"version": listing.version}})
         self.backends.change(kind is not api.ListKind.UPDATE, listing.backends, listing.addresses)
         self.feed(api.BackendsChanged(kind, listing.backends, listing.version))
 
@@ -750,6 +758,8 @@
             return
         request = self.open.get(attempt.request)
         self.attempts.pop((attempt.request, attempt.number), None)
+        if REQUESTS.isEnabledFor(logging.INFO):
+            self._note_attempt(attempt, outcome, request)
         if request is not None:
             request.out.discard(attempt)
             if request.passing is attempt and not request.answered:
@@ -807,10 +817,10 @@
                 self._send(action)
             case api.Refuse(id=key, retry_after=wait, reason=reason):
                 self.figures.turned_down(reason)
-                self._final(key, b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY, End.DECLINED)
+                self._final(key, b"-BUSY %d\r\n" % ceil(wait * 1000) if wait > 0 else BUSY, End.DECLINED, reason)
             case api.Fail(id=key, reason=reason):
                 self.figures.turned_down(reason)
-                self._final(key, FAILED, End.ABORTED)
+                self._final(key, FAILED, End.ABORTED, reason)
             case api.SetTimer(delay=delay, token=token):
                 self.loop.call_later(max(0.0, delay), self.feed, api.Timer(token))
             case api.Count(name=name, add=add, lifetime=lifetime) if self.counter is not None:
@@ -844,10 +854,11 @@
                     self.unsupported.add(kind)
                     log.warning("%s is not possible on these sockets", kind)
 
-    def _final(self, key: str, data: bytes, end: End) -> None:
+    def _final(self, key: str, data: bytes, end: End, reason: str) -> None:
         request = self.open.get(key)
         if request is not None:
             if not request.answered:
+                request.reason = reason
                 self._answer(request, data, end)
             self._forget(key)
 
