Have each change of the list within 6 s of when discovery could be reached

At fault: WAIT_MS 20 s, GRACE, busy_pauses up to 30 s, LONGEST_AFTER 60 s, FIRST_WAIT_MS and ASK_TIMEOUT with the pause on top (net/discovery.py). Ruled out: that the connection tells of it.

Change: a lost watch is given up after 4.4 s, the longest pause is 0.9 s. After an answer that there is no room all ingresses ask in rounds of the clock that they share, so that the line empties between; watches are longer while there is no room. An answer that comes twice on the connection is read once (net/http.py).

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -13,26 +13,27 @@
 from msgspec import Struct
 
 from mulleinhall.interface import Backend, ListKind, Readiness, Settings
+from mulleinhall.net.clock import Clock
 from mulleinhall.net.http import BusyError, HttpConnection, HttpError
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20_000  # of a watch: what is new comes at once; a silent agent is given up after this
-GRACE = 2.0  # s: an agent answers at once, or once the wait is over
-FIRST_WAIT_MS = 4_000  # of the first watch, and of one after a failure: a lost call is noticed sooner
-ASK_TIMEOUT = 6.0  # s for a call that doesn't wait: so long the news counts as not told
-PAUSE, LONGEST_PAUSE = 0.1, 2.0  # s between tries while the agent fails, on the mean: doubled each time
-LONGEST_AFTER = 60.0  # s: a service that asks to be left alone for longer is asked again all the same
+TOLD_WITHIN = 6.0  # s: a change counts as told so long after discovery had it and could be reached
+# What keeps within that: a call that is lost is given up, and after a pause the next one is answered at once.
+WAIT_MS = 2_400  # of a watch: what is new comes at once; one that has fallen silent is noticed after it
+GRACE = 2.0  # s beside the wait: so long a call may stand in line before discovery
+ASK_TIMEOUT = 4.0  # s for a call that doesn't wait
+PAUSE, LONGEST_PAUSE = 0.1, 0.6  # s between tries while the agent fails, on the mean: doubled each time
+# Where discovery says that it is short of room, all ingresses ask in rounds by the clock that they share.
+ROUND, ROUND_SPREAD = 4.5, 0.5  # s from one to the next, and s over which the calls of one are spread
+LONGEST_WAIT_MS = 20_000  # of a watch, while discovery has no room for more calls
+LONGER, SHORTER = 2.0, 0.9  # the wait after an answer that there is no room, and after any other
 
 
-def busy_pauses(settings: Settings) -> tuple[float, float]:
-    """The first and the longest pause, s on the mean, after an answer that discovery has no room.  Danger: it
-    works on calls that nobody waits for any more, so that calls beyond its room let none through.  All gateways
-    together begin with a call in PAUSE.  The longest keeps half as much again within the time after which an
-    ingress whose calls fail counts as told, four times `ask_within`."""
-    if not settings.ask_within:
-        return PAUSE, LONGEST_PAUSE
-    return min(PAUSE * settings.gateways, settings.ask_within / 2), 2 * settings.ask_within
+def busy_pause(settings: Settings) -> float:
+    """The first pause, s on the mean, after an answer that discovery has no room: all gateways together begin with a
+    call in PAUSE."""
+    return min(PAUSE * settings.gateways, ROUND) if settings.ask_within else PAUSE
 
 
 class Listing(Struct, frozen=True):
@@ -80,11 +81,12 @@
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
     def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None], version: int | None,
-                 rng: random.Random, busy: tuple[float, float] = (PAUSE, LONGEST_PAUSE)) -> None:
-        """`version`: of the list that is held, None where there is none; `busy`: as from `busy_pauses`."""
-        self.told, self.rng, self.busy = told, rng, busy
+                 rng: random.Random, clock: Clock, busy: float = PAUSE) -> None:
+        """`version`: of the list that is held, None where there is none; `clock`: the one that all ingresses share;
+        `busy`: as from `busy_pause`."""
+        self.told, self.rng, self.clock, self.busy = told, rng, clock, busy
         self.asking: asyncio.Task[None] | None = None  # the call or the pause that is on
-        self.address, self.settled = address, False  # `settled`: the last call went well
+        self.address, self.wait = address, float(WAIT_MS)  # `wait`: of the next watch
         # Of the list that is held: what changed since is enough; None asks for all of it.  Danger: a whole list
         # for each ingress is more than discovery has room for when all start at once.
         self.version = version
@@ -102,7 +104,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """From now on the agent is sought at `address`, at once and for the whole list."""
         self.address = address
-        self.version, self.settled = None, False
+        self.version, self.wait = None, float(WAIT_MS)
         if self.asking is not None:
             self.asking.cancel()
 
@@ -133,24 +135,30 @@
                         log.warning("discovery: %s: %s", type(error).__name__, error)
                     if not isinstance(error, OSError | HttpError):  # a TimeoutError is an OSError
                         self.version = None
-                    self.settled = False
+                    if isinstance(error, BusyError):
+                        self.wait = min(self.wait * LONGER, LONGEST_WAIT_MS)
                     await asyncio.sleep(self._pause(error, failures))
                     failures += 1
         finally:
             agent.close()
 
     def _pause(self, error: Exception, failures: int) -> float:
-        """s until the next try after so many failures and this one."""
-        (first, longest), least = (PAUSE, LONGEST_PAUSE), 0.0
-        if isinstance(error, BusyError):
-            (first, longest), least = self.busy, min(error.after, LONGEST_AFTER)
-        pause: float = min(longest, first * 2 ** min(failures, 8)) * self.rng.uniform(0.5, 1.5)
-        return max(least, pause)
+        """s until the next try after so many failures and this one.  Danger: discovery works on calls in turn, also
+        on those that nobody waits for any more; where calls come faster than it works, and none may stay away for
+        longer than a change may go untold, it lets none through.  In rounds its line is empty when the next begins,
+        and those that come first in it are served."""
+        if not isinstance(error, BusyError):
+            pause: float = min(LONGEST_PAUSE, PAUSE * 2 ** min(failures, 8)) * self.rng.uniform(0.5, 1.5)
+            return pause
+        turn: float = ROUND - self.clock() % ROUND + self.rng.uniform(0.0, ROUND_SPREAD)
+        if failures:
+            return turn
+        return min(turn, max(error.after, self.busy * self.rng.uniform(0.5, 1.5)))
 
     async def _ask(self, agent: HttpConnection) -> None:
         query, limit = "", ASK_TIMEOUT
         if self.version is not None:
-            wait = WAIT_MS if self.settled else FIRST_WAIT_MS
+            wait = round(self.wait)
             query, limit = f"?after={self.version}&wait_ms={wait}", wait / 1000 + GRACE
         async with asyncio.timeout(limit):
             body = await agent.get("/api/targets" + query)
@@ -158,7 +166,7 @@
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
-        self.version, self.settled = listing.version, True
+        self.version, self.wait = listing.version, max(self.wait * SHORTER, WAIT_MS)
         self.held, self.heard = listing.version, time.monotonic()
         if listing.full:
             self.told(ListKind.REPLACE, listing)
--- a/mulleinhall/net/http.py
+++ b/mulleinhall/net/http.py
@@ -29,9 +29,15 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body, self.headers, self.whole, self.sized = bytearray(), False, False, False
         self.keep = False  # the connection can be used again
+        self.more = False  # another answer follows, which nothing asked for
         self.after = 0.0  # s: its Retry-After, where that is a number
 
+    def on_message_begin(self) -> None:
+        self.more = self.whole
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.more:
+            return
         self.sized = self.sized or name.lower() in (b"content-length", b"transfer-encoding")
         if name.lower() == b"retry-after" and value.isdigit():
             self.after = float(value)
@@ -40,9 +46,12 @@
         self.headers = True
 
     def on_body(self, data: bytes) -> None:
-        self.body += data
+        if not self.more:
+            self.body += data
 
     def on_message_complete(self) -> None:
+        if self.more:
+            return
         self.whole, self.keep = True, self.parser.should_keep_alive()  # known only here
 
 
@@ -81,7 +90,7 @@
         except httptools.HttpParserError as error:
             raise HttpError(f"{type(error).__name__}: {error}") from error
         finally:
-            if not answer.keep:
+            if answer.more or not answer.keep:
                 self.close()
         status = answer.parser.get_status_code()
         if status in (429, 503):
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -29,7 +29,7 @@
 from mulleinhall.net.config import BadConfig, Config, same_but
 from mulleinhall.net.control import Control
 from mulleinhall.net.counter import Counter
-from mulleinhall.net.discovery import Discovery, Listing, busy_pauses
+from mulleinhall.net.discovery import Discovery, Listing, busy_pause
 from mulleinhall.net.figures import End, Figures
 from mulleinhall.net.generations import MOST_SHOWN, Generations
 from mulleinhall.net.handover import Handover, Link, Taken, will, write_estate, write_list
@@ -129,7 +129,7 @@
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         known = taken.listing if taken else config.known
         self.discovery = Discovery(config.discovery, self.listed, known.version if known.backends else None,
-                                   random.Random(config.seed), busy_pauses(self.settings))
+                                   random.Random(config.seed), self.clock, busy_pause(self.settings))
         self.clients = Clients(config.listen, config.client_sockets, config.third, self.settings, self, self.clock,
                                self.budget, taken.listener if taken else None)
         self._secure(config)
@@ -291,7 +291,7 @@
             self.members.resize(self._total())
         self._divide()
         self._settle()
-        self.discovery.busy = busy_pauses(config.settings)
+        self.discovery.busy = busy_pause(config.settings)
         if config.discovery != old.discovery:
             self.discovery.move(config.discovery)
         if config.counter is None:
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -77,7 +77,7 @@
         "commands": served.clients.commands, "most": (served.clients.most, served.backends.most),
         "times": (served.backends.connect_timeout, served.backends.idle_time, served.backends.grace),
         "memory": served.budget.memory, "figures": dict(served.figures.ends),
-        "discovery": (served.discovery.address, served.discovery.version, served.discovery.settled,
+        "discovery": (served.discovery.address, served.discovery.version, served.discovery.wait,
                       served.discovery.asking),
         "counter": served.counter, "generations": list(served.generations.kept),
         "changed": list(served.generations.changed)}
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -7,14 +7,17 @@
 import json
 import logging
 import random
+import socket
+import struct
 import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from mulleinhall.interface import ListKind, Plan, Readiness, RequestClass, Settings
 from mulleinhall.net import discovery as module
-from mulleinhall.net.discovery import Discovery, Listing, busy_pauses, read_listing
+from mulleinhall.net.discovery import Discovery, Listing, busy_pause, read_listing
 from mulleinhall.net.http import BusyError, HttpConnection, HttpError
 from tests.peers import Peer, Reader, Writer, entry, run, until
 
@@ -49,7 +52,7 @@
     told: list[tuple[ListKind, Listing]] = []
     async with agent.peer:
         discovery = Discovery(agent.peer.address, lambda kind, found: told.append((kind, found)), version,
-                              random.Random(1))
+                              random.Random(1), time.time)
         task = asyncio.create_task(discovery.run())
         await until(lambda: len(agent.asked) >= calls)
         task.cancel()
@@ -81,7 +84,7 @@
         old, new = Agent(listing(41, True, entry(HERE))), Agent(listing(7, True, entry(HERE, "s2")))
         async with old.peer, new.peer:
             discovery = Discovery(old.peer.address, lambda kind, found: told.append((kind, found)), None,
-                                  random.Random(1))
+                                  random.Random(1), time.time)
             task = asyncio.create_task(discovery.run())
             await until(lambda: len(old.asked) == 2)  # the watch is on, and silent
             discovery.move(new.peer.address)
@@ -124,9 +127,8 @@
     async def body() -> None:
         agent = Agent(listing(43, False, entry(HERE)), b"", b"", listing(44, False, entry(HERE)))
         told = await watch(agent, 5, version=41)
-        first = WATCH.replace(str(module.WAIT_MS), str(module.FIRST_WAIT_MS))
-        # An agent that hangs up has forgotten nothing; a call after that waits less long.
-        assert agent.asked == [first % 41, WATCH % 43, WATCH % 43, first % 43, WATCH % 44]
+        # An agent that hangs up has forgotten nothing.
+        assert agent.asked == [WATCH % 41, WATCH % 43, WATCH % 43, WATCH % 43, WATCH % 44]
         assert [(kind, found.version) for kind, found in told] == [
             (ListKind.UPDATE, 43), (ListKind.UPDATE, 44)]
 
@@ -137,7 +139,7 @@
     async def body() -> None:
         agent = Agent(listing(1, False, entry(HERE)))
         await watch(agent, 2, version=0)
-        assert agent.asked == [f"/api/targets?after=0&wait_ms={module.FIRST_WAIT_MS}", WATCH % 1]
+        assert agent.asked == [WATCH % 0, WATCH % 1]
 
     run(body())
 
@@ -147,29 +149,62 @@
                     gateways=gateways, ask_within=ask_within)
 
 
-@pytest.mark.parametrize(("gateways", "first", "longest"), [(3, 0.3, 20.0), (40, 4.0, 20.0), (1000, 5.0, 20.0)])
-def test_pauses_after_busy_answers_are_shared_by_all_gateways(gateways: int, first: float, longest: float) -> None:
-    assert busy_pauses(settings(gateways, 10.0)) == pytest.approx((first, longest))
-    discovery = Discovery(HERE, lambda kind, found: None, 41, random.Random(1), busy_pauses(settings(gateways, 10.0)))
+def asker(rng: random.Random, busy: float = module.PAUSE, now: float = 0.0) -> Discovery:
+    return Discovery(HERE, lambda kind, found: None, 41, rng, lambda: now, busy)
+
+
+@pytest.mark.parametrize(("gateways", "first"), [(3, 0.3), (40, 4.0), (1000, module.ROUND)])
+def test_pauses_after_busy_answers_are_shared_by_all_gateways(gateways: int, first: float) -> None:
+    assert busy_pause(settings(gateways, 10.0)) == pytest.approx(first)
     busy, broken = BusyError(503, 0.0), HttpError("status 500")
-    assert all(first / 2 <= discovery._pause(busy, 0) <= first * 1.5 for _ in range(50))
-    assert all(longest / 2 <= discovery._pause(busy, 20) <= longest * 1.5 for _ in range(50))
-    assert all(discovery._pause(broken, 20) <= module.LONGEST_PAUSE * 1.5 for _ in range(50))
-    assert discovery._pause(BusyError(503, 45.0), 0) == 45.0
-    assert discovery._pause(BusyError(503, 1e6), 0) == module.LONGEST_AFTER
+    for now in (0.0, 1.7, 4.4, 1_700_000_003.2):
+        discovery = asker(random.Random(1), first, now)
+        turn = module.ROUND - now % module.ROUND
+        assert all(min(turn, first / 2) <= discovery._pause(busy, 0) <= min(turn + module.ROUND_SPREAD, first * 1.5)
+                   for _ in range(50))
+        for failures in (1, 20, 1000):
+            assert all(turn <= discovery._pause(busy, failures) <= turn + module.ROUND_SPREAD for _ in range(50))
+        assert all(discovery._pause(broken, 20) <= module.LONGEST_PAUSE * 1.5 for _ in range(50))
+        # A Retry-After is kept to as far as the time allows in which a change counts as told.
+        assert discovery._pause(BusyError(503, 0.9), 0) >= min(0.9, turn)
+        assert turn <= discovery._pause(BusyError(503, 45.0), 0) <= turn + module.ROUND_SPREAD
 
 
 def test_a_list_that_nobody_has_to_ask_for_keeps_short_pauses() -> None:
-    assert busy_pauses(settings(40, 0.0)) == (module.PAUSE, module.LONGEST_PAUSE)
+    assert busy_pause(settings(40, 0.0)) == module.PAUSE
+
+
+def test_the_longest_time_from_reachable_to_told_is_within_what_the_terms_allow() -> None:
+    """A call that went out just before is lost, given up, and followed by the longest pause; the next is answered."""
+    answer, draw = 0.4, 1.5
+    lost = max(module.WAIT_MS / 1000 + module.GRACE, module.ASK_TIMEOUT)
+    assert lost + draw * module.LONGEST_PAUSE + answer <= module.TOLD_WITHIN
+    assert module.ROUND + module.ROUND_SPREAD + answer <= module.TOLD_WITHIN
+    pauses = [asker(random.Random(n))._pause(TimeoutError(), failures) for n in range(50) for failures in range(20)]
+    assert max(pauses) <= draw * module.LONGEST_PAUSE
+
+
+Pause = Callable[[Discovery, int, float], float]
 
 
-def reached(pauses: tuple[float, float], ingresses: int = 40, room: float = 4.0, seconds: float = 60.0) -> int:
+def in_rounds(caller: Discovery, failures: int, now: float) -> float:
+    caller.clock = lambda: now
+    return caller._pause(BusyError(503, 0.0), failures)
+
+
+def each_by_itself(caller: Discovery, failures: int, now: float) -> float:
+    """Anything between nothing and the longest time that the terms allow."""
+    return caller.rng.uniform(0.0, module.ROUND)
+
+
+def reached(pause: Pause, ingresses: int = 40, room: float = 4.0, seconds: float = 120.0, began: float = 0.0) -> int:
     """How many of the ingresses that start at once get through to a discovery that answers `room` calls a second in
     turn, holds a few, and works on those that were given up after 2 s as well."""
-    callers = [Discovery(HERE, lambda kind, found: None, 41, random.Random(n), pauses) for n in range(ingresses)]
-    calls = [(n / 1000, n, 0) for n in range(ingresses)]
+    busy = busy_pause(settings(ingresses, 10.0))
+    callers = [asker(random.Random(n), busy) for n in range(ingresses)]
+    calls = [(began + n / 1000, n, 0) for n in range(ingresses)]
     free, through = 0.0, 0
-    while calls and calls[0][0] < seconds:
+    while calls and calls[0][0] < began + seconds:
         at, number, failures = heapq.heappop(calls)
         if free - at > 3.5:  # as many wait as it holds
             failed = at
@@ -180,14 +215,16 @@
                 through += 1
                 continue
             failed = at + 2.0
-        pause = callers[number]._pause(BusyError(503, 0.0), failures)
-        heapq.heappush(calls, (failed + pause, number, failures + 1))
+        heapq.heappush(calls, (failed + pause(callers[number], failures, failed), number, failures + 1))
     return through
 
 
-def test_a_fleet_that_starts_at_once_gets_through_to_a_discovery_that_is_short_of_room() -> None:
-    assert reached((module.PAUSE, module.LONGEST_PAUSE)) < 20  # they keep each other out
-    assert reached(busy_pauses(settings(40, 10.0))) == 40
+@pytest.mark.parametrize(("ingresses", "room"), [(40, 4.0), (40, 2.0), (200, 4.0), (200, 20.0)])
+def test_a_fleet_that_starts_at_once_gets_through_to_a_discovery_that_is_short_of_room(
+        ingresses: int, room: float) -> None:
+    assert reached(each_by_itself, ingresses, room) < ingresses  # they keep each other out
+    for began in (0.0, 1.3, 4.4):
+        assert reached(in_rounds, ingresses, room, began=began) == ingresses
 
 
 def test_answers_that_say_there_is_no_room_are_told_from_others() -> None:
@@ -230,7 +267,7 @@
         monkeypatch.setattr(HttpConnection, "get", fails)
         for seed in range(20):
             slept.append([])
-            discovery = Discovery(HERE, lambda kind, found: None, 41, random.Random(seed))
+            discovery = asker(random.Random(seed))
             with pytest.raises(asyncio.CancelledError):
                 await discovery._follow(HttpConnection(HERE))
             assert discovery.version == 41
@@ -245,7 +282,6 @@
 def test_a_silent_agent_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "ASK_TIMEOUT", 0.05)
     monkeypatch.setattr(module, "WAIT_MS", 10)
-    monkeypatch.setattr(module, "FIRST_WAIT_MS", 10)
     monkeypatch.setattr(module, "GRACE", 0.05)
 
     async def body() -> None:
@@ -264,7 +300,7 @@
             raise RuntimeError("a fault")
 
         async with agent.peer:
-            task = asyncio.create_task(Discovery(agent.peer.address, told, None, random.Random(1)).run())
+            task = asyncio.create_task(Discovery(agent.peer.address, told, None, random.Random(1), time.time).run())
             await until(lambda: len(agent.asked) >= 3)
             assert not task.done()
             task.cancel()
@@ -284,3 +320,122 @@
         found = read_listing({"version": 1, "full": True, "servers": rows})
     assert [b.id for b in found.backends] == ["s2"]
     assert len(caplog.records) == 2
+
+
+def http(body: bytes, *lines: bytes, status: bytes = b"200 OK") -> bytes:
+    return b"\r\n".join([b"HTTP/1.1 " + status, *lines, b"", body])
+
+
+def sized(body: bytes, *lines: bytes, status: bytes = b"200 OK") -> bytes:
+    return http(body, b"Content-Length: %d" % len(body), *lines, status=status)
+
+
+DRAINING = entry(HERE, "s2", "draining")
+BUSY = sized(b"", b"Retry-After: 60", status=b"503 Busy")
+SPOILT = sized(b"", status=b"500 No")
+
+
+class Failing:
+    """Answers the first call, fails the next ones as told, and from then on has news and gives it at once.  `since`:
+    when the last call that failed was asked or, where it was answered, was answered: from then on it could be reached.
+
+    A failure is what is written, and whether the connection then ends by a reset, an end, or stays silent."""
+
+    def __init__(self, *failures: tuple[bytes, str]) -> None:
+        self.failures, self.since, self.answered = [(sized(listing(41, True, entry(HERE))), "on"), *failures], 0.0, 0
+        self.peer = Peer(self.script)
+
+    async def script(self, _: int, reader: Reader, writer: Writer) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            if self.answered < len(self.failures):
+                data, then = self.failures[self.answered]
+                self.answered += 1
+                self.since = time.monotonic()
+                writer.write(data)
+                await writer.drain()
+                if then == "silent":
+                    await asyncio.sleep(100.0)
+                elif then == "reset":
+                    reset(writer)
+                    return
+                elif then == "end":
+                    return
+            else:
+                watch = b"after=" in head
+                writer.write(sized(listing(42, False, DRAINING) if watch else listing(42, True, DRAINING)))
+                await asyncio.sleep(100.0)  # nothing is newer
+
+
+def reset(writer: Writer) -> None:
+    """Ends a connection in mid-air."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+HALF = http(listing(42, True, entry(HERE))[:-30], b"Content-Length: 9999")
+ENDLESS = http(listing(42, True, entry(HERE, "s9"))[:-20])  # no length: the end of the connection ends it
+
+
+@pytest.mark.parametrize("failures", [
+    pytest.param([(b"", "silent")], id="a watch falls silent"),
+    pytest.param([(SPOILT, "on")] * 5 + [(b"", "silent")], id="a call is lost after the pauses have grown"),
+    pytest.param([(HALF, "silent")], id="silence in mid-body"),
+    pytest.param([(HALF, "reset")], id="half a list and a reset"),
+    pytest.param([(ENDLESS, "reset")], id="no length and a reset"),
+    pytest.param([(ENDLESS, "silent")], id="no length and silence"),
+    pytest.param([(ENDLESS, "end")], id="no length and cut off"),
+    pytest.param([(b"", "reset")] * 8, id="resets"),
+    pytest.param([(BUSY, "on")], id="busy once, come back in a minute"),
+    pytest.param([(BUSY, "on")] * 2, id="busy twice"),
+])
+def test_a_change_is_told_within_six_seconds_of_when_discovery_could_be_reached(
+        failures: list[tuple[bytes, str]]) -> None:
+    async def body() -> None:
+        agent, told = Failing(*failures), list[tuple[float, int, list[str]]]()
+
+        def hear(kind: ListKind, found: Listing) -> None:
+            told.append((time.monotonic(), found.version, [b.id for b in found.backends]))
+
+        async with agent.peer:
+            task = asyncio.create_task(Discovery(
+                agent.peer.address, hear, None, random.Random(1), time.time, module.PAUSE * 40).run())
+            await until(lambda: len(told) >= 2)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        assert agent.answered == len(failures) + 1
+        assert told[1][0] - agent.since < module.TOLD_WITHIN
+        assert [(version, names) for _, version, names in told] == [(41, ["s1"]), (42, ["s2"])]
+
+    run(body())
+
+
+def test_an_answer_that_comes_twice_is_read_once() -> None:
+    async def body() -> None:
+        first = sized(listing(41, True, entry(HERE)))
+        agent, told = Failing((sized(listing(41, False)) * 2, "on")), list[int]()
+        agent.failures[0] = first * 2, "on"
+        async with agent.peer:
+            task = asyncio.create_task(Discovery(
+                agent.peer.address, lambda kind, found: told.append(found.version), None, random.Random(1),
+                time.time).run())
+            await until(lambda: len(told) == 2)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        assert told == [41, 42] and agent.peer.connections == 3
+
+    run(body())
+
+
+def test_a_watch_waits_longer_while_discovery_has_no_room_and_soon_shorter_again() -> None:
+    async def body() -> None:
+        agent = Agent(listing(41, True, entry(HERE)))
+        discovery = asker(random.Random(1))
+        async with agent.peer:
+            connection = HttpConnection(agent.peer.address)
+            discovery.wait = 20_000.0
+            await discovery._ask(connection)
+            assert discovery.wait == 20_000 * module.SHORTER
+            connection.close()
+
+    run(body())
