End connections of clients in one way: our end first, then read to the peer's

Seen: a client that sends again while most of a 60 kB answer is unread gets 'ConnectionResetError: [Errno 104]' (test); idle clients in a burst, 300 for 40 places, shut the listener for good ('accepted' 63 for 6 s). At fault: Client.end (transport.close over unread bytes), _trade and _spare (no look at what is unread or begun), data_received (reads and drops in a drain), _come and _sweep (no second look for room). Ruled out: TCP_NODELAY, which is set.

--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 import hiredis
@@ -16,7 +17,7 @@
 from mulleinhall.net.budget import LARGEST_WINDOW, Budget
 from mulleinhall.net.clock import Clock
 from mulleinhall.net.commands import BadCommand, Command, CommandReader, bulk
-from mulleinhall.net.listener import Listener, unread_for
+from mulleinhall.net.listener import Listener, ended_by_peer, unread_for
 from mulleinhall.net.resp import CommandFrames
 from mulleinhall.net.shares import Shares
 from mulleinhall.net.turns import Turns
@@ -36,6 +37,7 @@
 MOST_BEHIND = 10.0  # s for which a process may read what came while it stood still
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while clients are let go
 LAST_COMMAND = 2.0  # s for a command to end that had begun when clients were let go
+LINGER, LINGER_BYTES = 1.0, 256 * 1024  # s, and bytes, after our end of a connection until the peer ends its own
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 NOTHING = object()  # the reader has no whole command yet
 OK, PONG, NO = b"+OK\r\n", b"+PONG\r\n", b"-ERR draining\r\n"
@@ -113,7 +115,11 @@
         self.transport: asyncio.Transport | None = None
         self.unread, self.arrived, self.used = 0, 0.0, server.clock()
         self.waited = 0.0  # s for which what was read last had lain unread
-        self.full, self.choked, self.ending = False, False, False
+        self.full, self.choked = False, False
+        self.ending = False  # what comes is not taken any more
+        self.last = False  # what has come is taken, and nothing more is read
+        self.lingering: asyncio.TimerHandle | None = None  # our end is told: what still comes is read and dropped
+        self.dropped = 0  # bytes of that
         self.bad = 0  # malformed commands so far
         self.waits, self.read_at = 0, self.used  # bytes that wait to be read, and since when just so many
         self.due_from: float | None = self.used  # since when a whole command is due; None: nothing is
@@ -128,11 +134,14 @@
         return self.server.buffer[:self.server.budget.window()]
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(self.server.buffer[:nbytes]))
+        if not self.ending:
+            self.data_received(bytes(self.server.buffer[:nbytes]))
+            return
+        self.dropped += nbytes
+        if self.dropped > LINGER_BYTES and self.transport is not None:
+            self.transport.close()  # a flood: it may be reset
 
     def data_received(self, data: bytes) -> None:
-        if self.ending:
-            return
         now = self.used = self.server.clock()
         self.waited = self.server.waited(self.sock, now)
         self.arrived = now - self.waited
@@ -222,6 +231,8 @@
         if self.behind:
             self._take(self.behind)
             self._pace()
+        if self.last and not self.slots:
+            self.let_go()
 
     def _command(self, words: list[Any], size: int) -> None:
         slot = Slot(self)
@@ -262,6 +273,7 @@
         slot = Slot(self)
         self.slots.append(slot)
         slot.answer(b"-ERR %b\r\n" % why.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
+        self._pace()
 
     def flush(self) -> None:
         ready = []
@@ -270,32 +282,48 @@
         if self.slots and self.slots[0].source is not None:
             ready += self.slots[0].pieces
             self.slots[0].pieces = []
-        if self.transport is None or not ready:
-            return
+        if self.transport is None or self.lingering is not None or not ready:
+            return  # the client can't be told any more
         self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.used = self.server.clock()
         self._resume()
-        if not self.slots and self.body is None and (self.ending or self.server.letting_go is not None):
+        if not self.slots and self.body is None and (
+                self.ending or (self.server.letting_go is not None and not self.full and not self.behind)):
             self.end()
         elif self.full and len(self.slots) <= MOST_PIPELINED // 2:
             self.full = False
             self.server.loop.call_soon(self._go_on)
 
     def let_go(self) -> None:
-        """Ends the connection as it falls idle; what is sent behind an open request is not taken any more."""
+        """Ends the connection as it falls idle; what is sent behind an open request is not read any more, and its
+        client sends it elsewhere."""
         if self.body is not None:
             return  # until its value is whole
         if self.slots:
-            self.ending = True
-        elif not self.guard.inside() and not self._unread():
+            self.last = True
+            self._pace()
+        elif self.at_rest():
             self.end()
 
-    def _unread(self) -> bool:
-        """Guards against a request that would meet a closed connection: the loop has not told of it yet."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
+    def stay(self) -> None:
+        """Nobody is let go any more."""
+        self.last = False
+        self._pace()
+
+    def at_rest(self) -> bool:
+        """Whether nothing is open, begun or unread.  Guards against a request that would meet a closed connection:
+        the loop has not told of it yet."""
+        if self.slots or self.body is not None or self.behind or self.transport is None or self.lingering is not None:
             return False
+        return not self.guard.inside() and not peek(self.sock)
+
+    def departed(self) -> bool:
+        """Whether the client has gone, though the loop may not have told so yet: it tells nothing while reading is
+        paused, and late where the process stood still."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        unread = peek(self.sock)
+        return unread is None or (bool(unread) and ended_by_peer(self.sock))
 
     def _late(self) -> None:
         if self.server.letting_go is not None:
@@ -304,7 +332,7 @@
     def hurry(self, now: float) -> None:
         """Guards against peers that hold a place and send no command, or never the end of one."""
         since = self.server.letting_go
-        if since is not None and now - since > LAST_COMMAND and not self.slots:
+        if self.lingering is None and since is not None and now - since > LAST_COMMAND and not self.slots:
             self.end()
             return
         waits = self.transport.get_write_buffer_size() if self.transport is not None else 0
@@ -320,25 +348,51 @@
             return
         if self.guard.inside():
             self._broken("no whole command in time")
-        else:
+        elif self.at_rest():
             self.end()
 
     def idle(self, now: float) -> bool:
         """Whether it may be closed: nothing is open, begun or unread for as long as the terms ask."""
-        if self.slots or self.body is not None or self.guard.inside() or self.transport is None:
-            return False
-        return not self.transport.is_closing() and now - self.used > IDLE and not self._unread()
+        return now - self.used > IDLE and self.at_rest()
 
     def end(self) -> None:
-        """Closes once what was written has gone out."""
+        """The one way in which a connection is ended from here: what was written goes out, then our end, and what the
+        client still sends is read and dropped until it ends its own.  Danger: a close over unread bytes resets the
+        connection, and an answer that the client has not read yet is lost with it."""
+        if self.transport is None or self.lingering is not None:
+            return
+        self.ending = True
+        if self.transport.can_write_eof():
+            self.lingering = self.server.loop.call_later(LINGER, self._linger)
+            self.transport.write_eof()
+            self._pace()
+        else:
+            self.transport.close()  # TLS tells its own end
+
+    def _linger(self) -> None:
+        """The time is up; where the client is slow to read what it was sent, it has more."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.lingering = self.server.loop.call_later(LINGER, self._linger)
+        elif self.transport is not None:
+            self.transport.close()
+
+    def written(self) -> bool:
+        """Whether the system has all that was written."""
+        return self.transport is not None and not self.transport.get_write_buffer_size()
+
+    def drop(self) -> None:
+        """Frees the descriptor of a connection at rest, at once: nothing that its client has not got is lost."""
         if self.transport is not None:
+            self.ending = True
             self.transport.close()
 
     def _pace(self) -> None:
         """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.full or self.choked or self.held or self.behind:
+        if self.lingering is not None:
+            self.transport.resume_reading()
+        elif self.full or self.choked or self.held or self.behind or self.last or self.ending:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -366,8 +420,12 @@
 
     def gone(self) -> None:
         """The client went away: nobody waits for what is open."""
-        self.transport, slots, self.slots = None, self.slots, deque()
-        self.body = None
+        transport, self.transport = self.transport, None
+        if transport is not None:
+            transport.close()
+        if self.lingering is not None:
+            self.lingering.cancel()
+        slots, self.slots, self.body = self.slots, deque(), None
         for slot in slots:
             if slot.data is None:
                 slot.data = b""
@@ -428,8 +486,12 @@
         task = self.loop.create_task(self._attach(client, sock))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        # Guards against running out of descriptors: new ones wait until one leaves.
-        return len(self.connections) < self.most or (not self.settling and self._spare())
+        if len(self.connections) < self.most:
+            return True
+        # Guards against running out of descriptors: the next one waits until one has left.
+        if not self.settling:
+            self._spare()
+        return False
 
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
@@ -440,26 +502,24 @@
             sock.close()
             self.left(client)
 
-    def _idle(self) -> list[Client]:
-        """Connections without a request, those that have been idle longest first."""
-        return sorted((c for c in self.connections
-                       if not c.slots and c.transport and not c.transport.is_closing()), key=lambda c: c.used)
+    def _oldest(self, of: Callable[[Client], bool]) -> Client | None:
+        """The one of these that has been at rest for longest."""
+        found = (c for c in self.connections if not c.slots and not c.ending and of(c) and c.written())
+        return next((c for c in sorted(found, key=lambda c: c.used) if c.at_rest()), None)
 
     def _trade(self, peer: str) -> bool:
         """An address that holds more than its part gives up one of its own for a new one."""
-        oldest = next((c for c in self._idle() if c.peer == peer), None)
+        oldest = self._oldest(lambda c: c.peer == peer)
         if oldest is not None:
-            oldest.end()
+            oldest.drop()
         return oldest is not None
 
-    def _spare(self) -> bool:
+    def _spare(self) -> None:
         """Makes room by closing the connection that has been idle longest, of an address that holds more than
         its part if there is one."""
-        idle = self._idle()
-        oldest = next((c for c in idle if not self.shares.fair(c.peer)), idle[0] if idle else None)
+        oldest = self._oldest(lambda c: not self.shares.fair(c.peer)) or self._oldest(lambda c: True)
         if oldest is not None:
-            oldest.end()
-        return oldest is not None
+            oldest.drop()
 
     def _sweep(self) -> None:
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -470,6 +530,8 @@
                 client.hurry(now)
         if self.settling:
             self._settle(now)
+        elif self.door.full:
+            self._spare()  # all were busy when there was no room left
 
     def left(self, client: Client) -> None:
         if client in self.connections:
@@ -488,7 +550,7 @@
         """A lower limit: connections that have been idle for a while go, open requests stay."""
         idle = sorted((c for c in self.connections if c.idle(now)), key=lambda c: c.used)
         for client in idle[:max(0, len(self.connections) - self.most)]:
-            client.end()
+            client.drop()
         if len(self.connections) <= self.most:
             self.settling = False
             log.info("%d connections of clients: within the limit of %d", len(self.connections), self.most)
@@ -514,9 +576,8 @@
     def let_go(self, on: bool) -> None:
         """Closes each connection as it falls idle, late ones too, until it is taken back."""
         self.letting_go = self.clock() if on else None
-        if on:
-            for client in list(self.connections):
-                client.let_go()
+        for client in list(self.connections):
+            (client.let_go if on else client.stay)()
 
     def stop(self) -> None:
         """Accepts what has come, unless another process does, and closes the listener."""
@@ -531,6 +592,16 @@
             client.end()
 
 
+def peek(sock: socket.socket) -> bytes | None:
+    """A byte that the system holds unread, b"" for none; None where the peer has ended or reset the connection."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) or None
+    except BlockingIOError:
+        return b""
+    except OSError:
+        return None
+
+
 def turn_away(sock: socket.socket) -> None:
     """Tells one that comes from an address which holds its part already, as far as that goes at once."""
     with contextlib.suppress(OSError):
--- a/mulleinhall/net/listener.py
+++ b/mulleinhall/net/listener.py
@@ -21,6 +21,7 @@
 # was sent to it that it does not acknowledge, after UNACKNOWLEDGED s.
 ALIVE_AFTER, ALIVE_EVERY, ALIVE_TRIES = 20, 5, 3
 UNACKNOWLEDGED = 10.0
+ENDED = frozenset((7, 8))  # tcpi_state: closed (by a reset), and ended by the peer (<netinet/tcp.h>)
 LAST_DATA = 52  # offset of tcpi_last_data_recv (ms, 32 bits) in struct tcp_info
 
 
@@ -45,6 +46,15 @@
     return int.from_bytes(info[LAST_DATA:], sys.byteorder) / 1000 if len(info) == LAST_DATA + 4 else 0.0
 
 
+def ended_by_peer(sock: socket.socket) -> bool:
+    """Whether the peer has ended or reset the connection, also behind bytes that nobody has read; False where the
+    system does not tell."""
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in ENDED
+    except (OSError, IndexError):
+        return False
+
+
 class Listener:
     """`taken(sock, peer)` gets each connection with the address it comes from, and says whether there is room for
     another; once there is again, `room` must be called."""
