Begin every attempt in one place, which asks whether it is still wanted

At fault: Ingress.hung_up, Backends.start, release and _write. Ruled out: that the loop tells of the client's end in time; it is told to who reads, after timers.

Change: attempts always stand in line; Backends._serve alone begins one, where its window is open (Send.within, by the module), its client is there by the system's word, and the connection has been quiet for 20 ms. What no server can have whole is withdrawn where a request ends.

--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -362,9 +362,12 @@
 # Actions.
 
 class Send(Struct, frozen=True):
+    """`within`: s in which the attempt must begin, or it is moot; 0 for no such bound."""
+
     id: str
     backend: str
     timeout: float = 0.0
+    within: float = 0.0
 
 
 class Cancel(Struct, frozen=True):
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -180,11 +180,17 @@
         if self.cls.semantics is api.Semantics.UNSAFE:
             return False
         scope, info = self.cls.scope, server.info
-        return all(
-            now + settings.tick < sent + self.cls.window
-            and (scope is api.Scope.ALL or (scope is api.Scope.ZONE and info.zone == other.info.zone)
-                 or (scope is api.Scope.CELL and info.cell == other.info.cell))
-            for other, sent in self.maybe)
+        return self.within(now, settings) > 0 and all(
+            scope is api.Scope.ALL or (scope is api.Scope.ZONE and info.zone == other.info.zone)
+            or (scope is api.Scope.CELL and info.cell == other.info.cell)
+            for other, _ in self.maybe)
+
+    def within(self, now: float, settings: api.Settings) -> float:
+        """s in which an attempt of a keyed class has to begin, 0 where any time will do.  Danger: one
+        that waits for a connection may come too late to be known as a repeat."""
+        if self.cls.semantics is not api.Semantics.KEYED or not self.maybe:
+            return 0.0
+        return min(sent for _, sent in self.maybe) + self.cls.window - settings.tick - now
 
 
 class Totals:
@@ -778,7 +784,7 @@
                 self.watched.append((now + COPY * self.fleet.patience, job))
                 if not self.watching:
                     self._watch(now, COPY * self.fleet.patience)
-        number = len(job.tries)
+        number, within = len(job.tries), job.within(now, self.settings)
         job.tries.append((server, now))
         job.out[number] = server
         job.maybe.append((server, now))
@@ -791,7 +797,8 @@
         if self.twins.count or self.twins.kept:
             work = self.fleet.work(job) if server.cold(now, self.settings) else 0.0
             self._tell(job.customer, 1, job.units if first else 0.0, job.inside, server.info.id, work)
-        self.actions.append(api.Send(job.id, server.info.id, max(job.deadline - now, 1e-6)))
+        left = max(job.deadline - now, 1e-6)
+        self.actions.append(api.Send(job.id, server.info.id, left, within))
         return True
 
     def _finish(self, now: float, job: Job, reason: str) -> None:
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -10,6 +10,7 @@
 import ssl
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING, Any, cast
 
 import hiredis
@@ -39,6 +40,7 @@
 MOST_COMING_ALL = 64  # and to all of them: after a restart every ingress opens them at once
 TLS_TIMES = 4.0  # connect time-outs for a handshake beside: it costs both sides work
 LOST_PATH = 4.0  # connect time-outs in which nothing written is acknowledged: the path is lost, not the backend slow
+QUIET = 0.02  # s after an answer until its connection is used again: a second copy of it would pass for the next one's
 
 
 Meaning = tuple[Outcome, bytes | None, dict[str, float]]  # of an answer: outcome, value, load report
@@ -47,14 +49,15 @@
 class Attempt:
     """One attempt at one backend, from the module's `Send` to its outcome."""
 
-    __slots__ = ("backend", "connection", "deadline", "ended", "number", "own", "parts", "request", "sent",
-                 "timer", "waits", "whole")
+    __slots__ = ("backend", "begin_by", "connection", "deadline", "ended", "number", "own", "parts", "request",
+                 "sent", "timer", "waits", "whole")
     counted = True  # among those forwarded
 
     def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
-                 parts: tuple[bytes, bytes, bytes], whole: bool = True) -> None:
+                 parts: tuple[bytes, bytes, bytes], whole: bool = True, begin_by: float = inf) -> None:
+        """`begin_by`: when its first byte is written at the latest."""
         self.request, self.number, self.backend, self.sent = request, number, backend, sent
-        self.deadline, self.parts = deadline, parts
+        self.deadline, self.parts, self.begin_by = deadline, parts, begin_by
         self.connection: Connection | None = None
         self.waits: Target | None = None  # in whose line it stands
         self.timer: asyncio.TimerHandle | None = None
@@ -78,6 +81,11 @@
             text = b",".join(left if part.startswith(b"d=") else part for part in text.split(b","))
         return b"%b$%d\r\n%b%b" % (before, len(text), text, after)
 
+    def unsent(self) -> bool:
+        """Whether the backend can't have got the whole of it yet."""
+        connection = self.connection
+        return connection is None or connection.transport is None or connection.transport.get_write_buffer_size() > 0
+
     def meaning(self, answer: Any) -> Meaning:
         return _meaning(answer)
 
@@ -88,7 +96,7 @@
     Attempts without a connection wait in line, and take whichever is free first: one that comes up, or one that
     another attempt gives back."""
 
-    __slots__ = ("address", "closes", "coming", "idle", "listed", "waiting")
+    __slots__ = ("address", "closes", "coming", "idle", "listed", "resting", "waiting")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
@@ -97,6 +105,7 @@
         self.coming = 0  # connections that come up
         self.closes: float | None = None  # from then on nothing new is written to it
         self.listed = True
+        self.resting = False  # attempts wait for the end of a rest
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -108,7 +117,7 @@
         self.answers = AnswerReader()
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
-        self.idle_since, self.open = 0.0, True
+        self.idle_since, self.quiet_until, self.open, self.used = 0.0, 0.0, True, False
         self.choked = False  # the backend is slow to read
         self.heard, self.paused = 0.0, False  # when a piece of a long value came last
         self.keep: ssl.SSLContext | None = None  # where its TLS session goes once it has worked
@@ -159,6 +168,7 @@
         if self.answers.has_data() or not attempt.whole:
             self.close()
         else:
+            self.quiet_until = self.pool.clock() + QUIET
             self.pool.release(self)
         self.read_on(True)
         outcome, value, load = attempt.meaning(answer)
@@ -256,8 +266,11 @@
     def __init__(self, most: int, connect_timeout: float, idle_time: float, grace: float, clock: Clock,
                  ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None],
                  piece: Callable[[Attempt, bytes, int, bool], None],
-                 writable: Callable[[Attempt], None], figures: Figures, budget: Budget) -> None:
+                 writable: Callable[[Attempt], None], wanted: Callable[[Attempt], bool], figures: Figures,
+                 budget: Budget) -> None:
+        """`wanted`: whether anybody waits for an attempt's answer, asked as its first byte is about to be written."""
         self.figures, self.budget, self.piece, self.writable = figures, budget, piece, writable
+        self.wanted = wanted
         self.buffer = memoryview(bytearray(LARGEST_WINDOW))  # what was read is taken out before the next read
         self.most, self.connect_timeout, self.clock, self.ended = most, connect_timeout, clock, ended
         self.set_times(idle_time, grace)
@@ -335,16 +348,11 @@
             return
         if attempt.whole:
             attempt.timer = self.loop.call_later(left, self._overdue, attempt)
-        while target.idle:
-            connection = target.idle.pop()
-            if not connection.stale():
-                self.reused += 1
-                self._write(connection, attempt)
-                return
-            connection.close()
         target.waiting.append(attempt)
         attempt.waits = target
-        self._open(target)
+        self._serve(target)
+        if attempt.waits is not None:
+            self._open(target)
 
     def cancel(self, attempt: Attempt) -> None:
         self._give_up(attempt, Outcome.CANCELLED)
@@ -375,14 +383,63 @@
         # What was never written never ran: the connection did not come up in time.
         self._give_up(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Its request is over: what no backend can have got whole goes to none any more."""
+        if attempt.connection is None:
+            self.end(attempt, Outcome.MOOT)
+        elif attempt.unsent():
+            self._give_up(attempt, Outcome.CANCELLED)
+
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.connection is not None:
             attempt.connection.close()
         self.end(attempt, outcome)
 
+    def _serve(self, target: Target) -> None:
+        """Attempts in line get the connections in rest, the latest used first.  The one place where an attempt
+        begins.  Danger: what was decided some time ago may be wrong by now: the client has gone, another attempt has
+        answered, a repeat would come too late to be known as one, a copy of the answer before is under way."""
+        now = self.clock()
+        if self._closed(target):
+            self._let_down(target)
+        while target.waiting:
+            attempt = target.waiting[0]
+            if now >= attempt.begin_by or not self.wanted(attempt):
+                self.end(attempt, Outcome.MOOT)
+                continue
+            connection = self._rested(target, now)
+            if connection is None:
+                return
+            attempt.waits = None
+            target.waiting.popleft()
+            self._write(connection, attempt)
+
+    def _rested(self, target: Target, now: float) -> Connection | None:
+        """The connection used last among those that have been quiet for long enough; no longer among the idle."""
+        wake = inf
+        for connection in target.idle[::-1]:
+            if now < connection.quiet_until:
+                wake = connection.quiet_until
+            elif connection.stale():
+                connection.close()
+            else:
+                target.idle.remove(connection)
+                return connection
+        if wake < inf and not target.resting:
+            target.resting = True
+            self.loop.call_later(wake - now, self._wake, target)
+        return None
+
+    def _wake(self, target: Target) -> None:
+        target.resting = False
+        self._serve(target)
+        self._open(target)
+
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
+        self.reused += connection.used
+        connection.used = True
         connection.transport.write(attempt.command(self.clock()))
         if not attempt.whole:
             self.writable(attempt)
@@ -413,8 +470,8 @@
     # Connections
 
     def _open(self, target: Target) -> None:
-        """As many connections come up as attempts wait, but for the bounds."""
-        while target.coming < min(len(target.waiting), MOST_COMING):
+        """As many connections come up as attempts wait for none in rest, but for the bounds."""
+        while target.coming < min(len(target.waiting) - len(target.idle), MOST_COMING):
             if self.coming >= MOST_COMING_ALL:
                 self.wanting[target] = None
                 return
@@ -515,7 +572,7 @@
             self.end(attempt, Outcome.CONNECT_FAILED)
 
     def release(self, connection: Connection) -> None:
-        """The connection is free: the attempt that has waited longest takes it, or later the next one."""
+        """The connection is free: the attempt that has waited longest takes it, now or once it has been quiet."""
         target = connection.target
         if not connection.current():
             connection.close()
@@ -523,17 +580,10 @@
                 self._open(target)  # at its present address
             else:
                 self._let_down(target)
-        elif connection.open and target.waiting:
-            if self._closed(target):
-                connection.close()
-                self._let_down(target)
-                return
-            attempt = target.waiting.popleft()
-            attempt.waits = None
-            self._write(connection, attempt)
         elif connection.open:
             connection.idle_since = self.clock()
             target.idle.append(connection)
+            self._serve(target)
 
     def _let_down(self, target: Target) -> None:
         for attempt in list(target.waiting):
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -10,7 +10,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Iterable, Mapping, Sequence
-from math import ceil
+from math import ceil, inf
 from pathlib import Path
 from time import monotonic
 from typing import TYPE_CHECKING, Any
@@ -124,7 +124,7 @@
         self.unsupported: set[str] = set()
         self.backends = Backends(config.backend_sockets, config.connect_timeout, config.idle_time,
                                  self.settings.drain_grace, self.clock, self.ended, self.piece, self.writable,
-                                 self.figures, self.budget)
+                                 self.wanted, self.figures, self.budget)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         known = taken.listing if taken else config.known
@@ -662,6 +662,19 @@
         if not upload.whole:
             request.slot.client.hold(not more)
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether anybody waits for its answer.  Danger: a client may have left while this process stood still, or
+        while it is read no further, and the loop tells of it later than a connection comes up or a timer is due."""
+        if isinstance(attempt, Check):
+            return True
+        request = self.open.get(attempt.request)
+        if request is None or request.answered:
+            return False
+        client = request.slot.client
+        if client.departed():
+            client.gone()
+        return not request.answered
+
     def hung_up(self, slot: Slot) -> None:
         request = self.open.get(slot.key)
         if request is not None and not request.answered:
@@ -701,6 +714,9 @@
             self._note(request, end)
         if request.timer is not None:
             request.timer.cancel()
+        for attempt in list(request.out):
+            if attempt is not request.passing:
+                self.backends.withdraw(attempt)
 
     def _note(self, request: Open, end: End) -> None:
         """A line of the log, under the id that the client gave."""
@@ -878,7 +894,7 @@
         attempt = Attempt(
             request.key, number, action.backend, now,
             min(last, now + action.timeout) if action.timeout else last, request.command.parts(),
-            request.upload is None)
+            request.upload is None, now + action.within if action.within else inf)
         request.out.add(attempt)
         self.attempts[request.key, number] = attempt
         self.backends.start(attempt)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -26,8 +26,10 @@
         self.ends: list[tuple[int, Outcome, bytes | None]] = []
         self.pieces: list[tuple[bytes, int, bool]] = []
         self.skipped, clock, self.count = 0.0, unix_clock(), 0
+        self.wanted = True  # whether anybody waits for the answers
         self.pool = Backends(most, timeout, idle, 1.0, lambda: clock() + self.skipped, self.ended,
-                             self.piece, lambda attempt: None, Figures([]), Budget(1 << 28))
+                             self.piece, lambda attempt: None, lambda attempt: self.wanted, Figures([]),
+                             Budget(1 << 28))
         self.tell(*((Backend(f"s{n}"), address) for n, address in enumerate(addresses)))
 
     def tell(self, *rows: tuple[Backend, Address], full: bool = True) -> None:
@@ -205,6 +207,7 @@
             await pool.end(2)
             latest = pool.pool.targets["s0"].idle[-1]
             attempt = pool.send()
+            await until(lambda: attempt.connection or attempt.ended)
             assert attempt.connection is latest
             await pool.end(3)
             assert peer.connections == 2 and pool.pool.sockets == 2
