Ignore SIGHUP once the process ends

At fault: __main__.py, loop.add_signal_handler: when the loop closes it gives the signal its default back, and the interpreter takes some 20 ms more to end. Ruled out: blocking it in the main thread (a trial failed: other threads of the loop's library take it).

Change: the handler is the interpreter's own and calls into the loop; it is replaced by 'ignore' after the ingress has run.

Tests: tests/test_net_signals.py, eighteen over real processes: SIGTERM at each step of a start, twice, in reloads, while all servers hang; requests on kept connections all through a drain; bad files at SIGHUP. Two failed before.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -34,7 +34,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    # Danger: one that the loop is given gets its default back when the loop closes, and then ends the process.
+    signal.signal(signal.SIGHUP, lambda number, _: loop.call_soon_threadsafe(reload.set))
     if early:
         reload.set()  # the file that was read may have been the one before
     if taken is None:
@@ -44,6 +45,7 @@
     ingress = Ingress(config, taken=taken, path=socket_path(config.listen))
     following = loop.create_task(follow(path, ingress, reload))
     await ingress.run(stop)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     following.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await following
