Refuse strings that do not end where they said, and numbers in odd forms

Seen, by tests: '*3 $2 okXX$-1' of a server is served as 'ok', API.READXX of a client reaches a server, customers of the form 0x..., units=1_0 and units= 1 are served.

Change: the two bytes behind a string are looked at, across reads too; customer and units are matched whole.

--- a/mulleinhall/net/commands.py
+++ b/mulleinhall/net/commands.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import re
+
 from msgspec import Struct
 
 from mulleinhall.interface import RequestClass, Semantics, Settings
 from mulleinhall.net.resp import LARGEST, LONG
 
 MOST_CUSTOMERS = 2 ** 33
+CUSTOMER, UNITS = re.compile(rb"[0-9a-fA-F]{16}"), re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 LONGEST_WAIT = 3600_000  # ms; a `d` above is a mistake
 
 
@@ -58,11 +61,7 @@
         if size and len(words) < 5:
             raise BadCommand("a head too large")
         customer = words[1]
-        try:
-            known = len(customer) == 16 and int(customer, 16) < MOST_CUSTOMERS and customer.isalnum()
-        except ValueError:
-            known = False
-        if not known:
+        if not CUSTOMER.fullmatch(customer) or int(customer, 16) >= MOST_CUSTOMERS:
             raise BadCommand("the customer is not a number of 16 hex digits")
         if not words[2]:
             raise BadCommand("no id")
@@ -83,10 +82,8 @@
             raise BadCommand("the class belongs to the other command")
         if cls.semantics is Semantics.KEYED and not names.get("k"):
             raise BadCommand("k is missing")
-        try:
-            units = float(names.get("units", "1"))
-        except ValueError:
-            units = -1.0
+        text = names.get("units", "1")
+        units = float(text) if UNITS.fullmatch(text) else 0.0
         if not 0 < units < 1e9:
             raise BadCommand("bad number: units")
         return Command(words, customer.decode(), names["c"], names["t"],
--- a/mulleinhall/net/resp.py
+++ b/mulleinhall/net/resp.py
@@ -22,30 +22,30 @@
 
     def __init__(self, most: int) -> None:
         self.most = most  # elements that one frame may claim, the nested ones too
-        self.skip = 0  # bytes of a bulk string that are still to come
+        self.skip, self.tail = 0, False  # bytes of a bulk string that are still to come; its CRLF is to come
         self.due, self.claimed = 0, 0  # elements of the frame at hand: still to come, claimed in all
         self.rest = b""  # of a line that has not ended
         self.begun = 0  # frames so far
 
     def inside(self) -> bool:
         """Whether a frame has begun and not ended."""
-        return self.due > 0 or self.skip > 0 or bool(self.rest)
+        return self.due > 0 or self.skip > 0 or self.tail or bool(self.rest)
 
     def whole(self) -> int:
         """How many frames have ended."""
-        return self.begun - (self.due > 0 or self.skip > 0)
+        return self.begun - (self.due > 0 or self.skip > 0 or self.tail)
 
     def check(self, data: bytes) -> int:
         """Reads on; how many bytes of `data` may be parsed: all, or those before the line that claims too
-        much."""
+        much, or is not where a string said that it ends."""
         before, self.rest = self.rest, b""
         text = before + data if before else data
         at, size = self.skip, len(text)
         while at < size:
-            end = text.find(b"\r\n", at)
+            end = self._ends(text, at)
+            if end is None:
+                return max(0, at - len(before))
             if end < 0:
-                if size - at > LONGEST_LINE:
-                    return max(0, at - len(before))
                 self.rest, at = text[at:], size
                 break
             follows = self._line(text[at:at + 1], text[at + 1:end])
@@ -55,8 +55,19 @@
         self.skip = at - size
         return len(data)
 
+    def _ends(self, text: bytes, at: int) -> int | None:
+        """Where the line at hand ends; -1 where it has not ended yet, None where it can't be right.  Danger: the
+        parser passes over what stands in place of the line's end behind a string."""
+        end = text.find(b"\r\n", at)
+        if self.tail:
+            return end if end == at or text[at:] == b"\r" else None
+        return None if end < 0 and len(text) - at > LONGEST_LINE else end
+
     def _line(self, kind: bytes, text: bytes) -> int:
-        """Takes in one line; the number of bytes that belong to it and follow."""
+        """Takes in one line; the number of bytes of a string that follow."""
+        if self.tail:
+            self.tail = False
+            return 0
         if self.due == 0:
             self.due, self.claimed = 1, 0
             self.begun += 1
@@ -68,7 +79,8 @@
         except ValueError:
             return 0  # the parser turns it down
         if kind in b"$=":
-            return count + 2 if count >= 0 else 0
+            self.tail = count >= 0
+            return max(0, count)
         elements = max(0, count) * (2 if kind in b"%|" else 1)
         self.due += elements
         self.claimed += elements
@@ -82,24 +94,25 @@
     def __init__(self, most: int) -> None:
         super().__init__(most)
         self.long = 0  # bytes of the long word that follows; 0 for none
-        self.fault = False  # what follows can't be parsed
+        self.fault = ""  # why what follows can't be parsed
 
     def cut(self, data: bytes) -> tuple[bytes, bytes]:
         """What the parser may have, and what comes after the head of a command with a long word."""
         text, self.rest = self.rest + data, b""
         at, size = self.skip, len(text)
         while at < size:
-            end = text.find(b"\r\n", at)
-            if end < 0:
-                self.fault = size - at > LONGEST_LINE
+            end = self._ends(text, at)
+            if end is None:
+                self.fault = "a word that does not end where it said" if self.tail else "a line too long"
+            if end is None or end < 0:
                 self.skip, self.rest = 0, text[at:]
                 return text[:at], b""
             follows = self._line(text[at:at + 1], text[at + 1:end])
             if self.claimed > self.most:
-                self.fault = True
+                self.fault = "too many words"
                 return text[:at], b""
-            if follows - 2 > LONG and not self.due:
-                self.skip, self.long = 0, follows - 2
+            if follows > LONG and not self.due:
+                self.skip, self.tail, self.long = 0, False, follows
                 return text[:at] + b"$0\r\n\r\n", text[end + 2:]
             at = end + 2 + follows
         self.skip = at - size
@@ -145,7 +158,7 @@
     def _keep(self, data: bytes) -> None:
         self.kept += len(data)
         if self.guard.check(data) < len(data):
-            raise hiredis.ProtocolError("too many elements")
+            raise hiredis.ProtocolError("too many elements, or a string that does not end where it said")
         self.reader.feed(data)
 
     def answer(self) -> Any:
