Bound long values that trickle in, and close after an answer that makes no sense

Seen, by tests: a value of 70,000 bytes at one byte each 0.3 s holds its place without end; after '+OK' in place of an answer the real one, 5 ms later, goes to the next request; of more half commands than there are places the last were told after 4.8 s. At fault: Client.hurry looks at the gap between pieces alone; Connection.data_received keeps the connection after SPOILT; due_from began at the accept.

Change: a value that is read comes at 4 KiB a second on the mean at least, after 2.5 s; the connection is closed after an answer that makes no sense; the time for a first command runs from when the peer connected, where the system tells.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -165,13 +165,13 @@
         if self.keep is not None and self.transport is not None:
             self.pool.keep_session(self.keep, self.address, self.transport.get_extra_info("ssl_object"))
             self.keep = None
-        if self.answers.has_data() or not attempt.whole:
-            self.close()
+        outcome, value, load = attempt.meaning(answer)
+        if self.answers.has_data() or not attempt.whole or outcome is Outcome.SPOILT:
+            self.close()  # what follows could pass for another's answer
         else:
             self.quiet_until = self.pool.clock() + QUIET
             self.pool.release(self)
         self.read_on(True)
-        outcome, value, load = attempt.meaning(answer)
         self.pool.end(attempt, outcome, value, load)
 
     def eof_received(self) -> None:
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -29,7 +29,8 @@
 MOST_WORDS = 64  # of a command
 MOST_BAD = 16  # malformed commands on a connection; one more ends it
 STALLED = 10.0  # s in which a client reads nothing of what waits for it: longer than between two pieces
-PAUSES = 2.5  # s between two pieces of a long value that a client sends
+PAUSES = 2.5  # s between two pieces of a long value that a client sends, and until its mean rate counts
+LEAST_RATE = 4096  # bytes a second of a long value, while it is read
 PATIENCE = 2.0  # s for a first command to come, and for one that has begun to end
 SWEEP = 0.4  # s between looks for peers that are silent or too slow
 IDLE = 2.0  # s without a request after which a connection may be closed
@@ -110,6 +111,7 @@
         self.body: Slot | None = None  # of the request whose long value is coming
         self.left, self.tail = 0, b""  # bytes of it that are still to come, and the last that came
         self.held = False  # nobody takes more of it for now
+        self.body_due = 0.0  # when the next byte of it would be too late for the least rate
         self.behind = b""  # what came behind a command that is not taken yet
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
@@ -122,7 +124,8 @@
         self.dropped = 0  # bytes of that
         self.bad = 0  # malformed commands so far
         self.waits, self.read_at = 0, self.used  # bytes that wait to be read, and since when just so many
-        self.due_from: float | None = self.used  # since when a whole command is due; None: nothing is
+        # Since when a whole command is due; None: nothing is.  One that found no room at first has waited already.
+        self.due_from: float | None = self.used - unread_for(sock)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -174,13 +177,14 @@
             return b""
         self._parse()
         if self.guard.fault and not self.ending:
-            self._broken("too many words")
+            self._broken(self.guard.fault)
         return behind
 
     def _piece(self, slot: Slot, data: bytes) -> bytes:
         """Passes on what belongs to the long value at hand; what is left comes after it."""
         piece = data[:self.left]
         self.left -= len(piece)
+        self.body_due += len(piece) / LEAST_RATE
         self.tail = (self.tail + piece)[-2:]
         if not self.left:
             self.body = None
@@ -198,7 +202,10 @@
 
     def hold(self, on: bool) -> None:
         """Back-pressure: whether the long value at hand is read no further."""
-        self.held = on and self.body is not None
+        now, on = self.server.clock(), on and self.body is not None
+        if on is not self.held:
+            self.body_due += -now if on else now  # what it waits for us is not its own doing
+        self.held = on
         self._pace()
 
     def _parse(self) -> None:
@@ -245,6 +252,7 @@
                 command = self.server.commands.read(verb, words, size)
                 if size:
                     self.body, self.left, self.tail = slot, size + 2, b""
+                    self.body_due = self.arrived + PAUSES
                 self.server.handler.request(slot, command, self.arrived)
             elif size:
                 raise BadCommand("value too large")
@@ -341,7 +349,7 @@
         elif now - self.read_at > STALLED and self.transport is not None:
             self.transport.abort()  # it reads nothing of what waits for it
             return
-        if self.body is not None and not self.held and now - self.arrived > PAUSES:
+        if self.body is not None and not self.held and (now - self.arrived > PAUSES or now > self.body_due):
             self.end()  # with a value that is not whole
             return
         if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -206,8 +206,8 @@
             pool.send()
             await pool.end(2)
             latest = pool.pool.targets["s0"].idle[-1]
+            await until(lambda: pool.pool.clock() > latest.quiet_until)  # both have been quiet for long enough
             attempt = pool.send()
-            await until(lambda: attempt.connection or attempt.ended)
             assert attempt.connection is latest
             await pool.end(3)
             assert peer.connections == 2 and pool.pool.sockets == 2
@@ -215,6 +215,23 @@
     run(body())
 
 
+def test_a_connection_is_not_used_again_before_it_has_been_quiet() -> None:
+    """And no other is opened meanwhile: a handshake costs more than the rest."""
+    async def body() -> None:
+        async with backend() as peer:
+            pool = Pool(peer.address)
+            pool.send()
+            await pool.end()
+            [connection] = pool.pool.targets["s0"].idle
+            assert pool.pool.clock() < connection.quiet_until
+            attempt = pool.send()
+            assert attempt.connection is None and not pool.pool.coming
+            await pool.end(2)
+            assert pool.pool.clock() >= attempt.sent and peer.connections == 1
+
+    run(body())
+
+
 def test_a_connection_that_the_peer_has_ended_is_not_used() -> None:
     async def script(number: int, reader: Reader, writer: Writer) -> None:
         while True:
