Earn and spend cold budgets in work, from a full bucket, and forget in a pause

At fault in logic.py: cold_ok spends a light request at once from a level drawn for a whole one; note_done counts answers where budgets spend work, fades by steps and is read unfaded; _spent takes from a bucket not filled up first. Ruled out by trials: a cap on credit after pauses, slots that expire (stricter than the bound).

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -238,7 +238,8 @@
 
     def fresh_start(self, now: float, health: Health, level: float) -> None:
         """Danger: cold budgets far under one attempt that start alike reach it at one moment, or too late.
-        With a `level` drawn evenly from 0 to 1 all gateways together send at their rate from the start."""
+        With a `level` drawn evenly from 0 to 1, and full before it is spent, all gateways together send at
+        their rate from the start."""
         self.pace, self.pace_at = 1.0, now  # answer time beside what the class takes on the mean
         self.wait = BUSY  # mean answer time as a share of the aim
         self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
@@ -311,7 +312,7 @@
         self.outliers = Outliers(settings, self.patience, rng)
         self.units = 1.0  # of a request, on the mean
         self.typical = 0.0  # answers a second from here for a unit of weight, when warm
-        self.done, self.done_at = 0.0, 0.0  # answers a second of the preferred, smoothed over a cold time
+        self.done, self.done_at = 0.0, 0.0  # work a second of the preferred, smoothed over a cold time
         self.densities: deque[float] = deque(maxlen=256)
         self.present: list[Server] = []
         self.near: list[Server] = []  # this gateway's subset: what it learns is of use
@@ -381,18 +382,24 @@
     def mean(self, cls: api.RequestClass) -> float:
         return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
 
-    def note_done(self, now: float, cls: api.RequestClass, latency: float, near: bool) -> None:
-        mean = self.means.setdefault(cls.name, latency)
-        self.means[cls.name] = mean + SMOOTH / 4 * (min(latency, cls.aim) - mean)
-        if not near:
-            return
-        span = max(self.settings.cold_time / 4, 1.0)
-        self.done = self.done * max(0.0, 1 - (now - self.done_at) / span) + 1.0 / span
-        self.done_at = now
+    def note_done(self, now: float, job: Job, latency: float, near: bool) -> None:
+        mean = self.means.setdefault(job.cls.name, latency)
+        self.means[job.cls.name] = mean + SMOOTH / 4 * (min(latency, job.cls.aim) - mean)
+        if near:
+            self.done, self.done_at = self.carried(now) + self.work(job) / self._span(), now
+
+    def _span(self) -> float:
+        return max(self.settings.cold_time / 4, 1.0)
+
+    def carried(self, now: float) -> float:
+        """The work a second that the preferred carry from here.  Danger: cold budgets are spent in work;
+        counted in answers, or kept through a pause, it lets all gateways together earn more than a server
+        bears."""
+        return self.done * exp((self.done_at - now) / self._span())
 
     def work(self, job: Job) -> float:
         """How much work a request is likely to bring, beside the mean request."""
-        means = list(self.means.values()) or [self.mean(job.cls)]
+        means = [max(m, self.settings.tick) for m in self.means.values()] or [self.mean(job.cls)]
         return self.mean(job.cls) * len(means) / sum(means) * job.units / max(self.units, 1e-6)
 
     def cold_ok(self, server: Server, now: float, job: Job) -> bool:
@@ -405,7 +412,7 @@
             return True
         warm = sum(x.info.weight for x in self.near if not x.cold(now, s))
         if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.near):
-            self.typical = self.done / warm  # when most are cold, what was typical before still holds
+            self.typical = self.carried(now) / warm  # when most are cold, what was typical before still holds
         share = s.cold_share + (1 - s.cold_share) * (now - server.info.started) / max(s.cold_time, 1e-6)
         typical = self.typical * server.info.weight
         least = 0.5 / (s.fall_time * s.gateways)
@@ -417,7 +424,7 @@
         else:
             server.budget.rate = least
         free, work = len(server.out) < max(1.0, server.budget.rate), self.work(job)
-        return free and server.budget.fits(now, work, max(1.0, work))
+        return free and server.budget.fits(now, max(1.0, work), max(1.0, work))
 
     def wait(self, now: float) -> float:
         """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
@@ -653,8 +660,8 @@
     def estate(self, now: float, customers: bool = True) -> api.Estate:
         """What the process that takes this one's place must know."""
         fleet = self.fleet
-        return api.Estate(now if self.born is None else self.born, self.called, fleet.typical, fleet.done,
-                          dict(fleet.means),
+        return api.Estate(now if self.born is None else self.born, self.called, fleet.typical,
+                          fleet.carried(now), dict(fleet.means),
                           tuple(c.state(now) for c in self.customers.values()) if customers else (),
                           tuple(s.state() for s in fleet.servers.values()),
                           {name: self._fresh(now, name) for name in self.fresh}, self.since)
@@ -707,6 +714,7 @@
             if event.inside:
                 customer.take(event.units)
         if event.work and (server := self.fleet.servers.get(event.backend)):
+            server.budget.fits(now, 0.0)  # else what has filled up would make up for it
             server.budget.take(event.work)
 
     def _tell(self, customer: Customer, out: int, units: float = 0.0, inside: bool = False,
@@ -825,7 +833,7 @@
         server.answered(now, latency, self.fleet.mean(job.cls), job.cls.aim)
         if now - latency >= server.since:  # else another process answered
             self.fleet.outliers.good(server.health, now, latency > job.cls.aim)
-        self.fleet.note_done(now, job.cls, latency, server.near)
+        self.fleet.note_done(now, job, latency, server.near)
         others = [number for number in job.out if number != attempt]
         if others and not job.over:
             self.copy_odds += SMOOTH * ((attempt > min(others)) - self.copy_odds)
