--- a/mulleinhall/net/control.py
+++ b/mulleinhall/net/control.py
@@ -48,9 +48,11 @@
             self.server.later(self, answer)
 
     def say(self, text: str) -> None:
+        """The answer, then our end.  Danger: a close over bytes that come behind the call resets the connection, and
+        takes the answer with it; so the caller ends its side, or the sweep does."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(text.encode() + b"\n")
-            self.transport.close()
+            self.transport.write_eof()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.callers.pop(self, None)
--- a/tests/test_net_control.py
+++ b/tests/test_net_control.py
@@ -56,6 +56,26 @@
     run(body())
 
 
+def test_an_answer_is_not_lost_with_what_its_caller_sends_behind_the_call() -> None:
+    """It comes as the connection is closed: a close over it would reset the connection."""
+    async def body() -> None:
+        async with serving(config(control=SECOND)) as (served, _):
+            loop, sock = asyncio.get_running_loop(), socket.create_connection(second(served))
+            sock.setblocking(False)
+            sock.send(b"show-stat\n")
+            assert served.control is not None
+            await until(lambda: any(caller.asked for caller in served.control.callers))  # type: ignore[union-attr]
+            sock.send(b"x" * 1000)
+            found = b""
+            while data := await loop.sock_recv(sock, 100):
+                found += data
+            assert found.endswith(b"eof\n")
+            sock.close()
+            await until(lambda: not served.control.callers)  # type: ignore[union-attr]
+
+    run(body())
+
+
 def test_without_a_second_address_there_is_none() -> None:
     async def body() -> None:
         async with serving(config()) as (served, _):
