Let no fault in one reload end those that come after

Seen, by reading and a test: anything but BadConfig out of load_config or change ends the task that waits for SIGHUP ('RuntimeError: a fault'; no later signal does anything). At fault: follow() in __main__.py. Change: it is refused like a bad file, with its name. Beside it a connection that this process has ended can't be answered, so nothing more begins for it (Client.departed).

Test: test_a_fault_in_one_reload_does_not_end_those_that_come_after; without the change it waits without end.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -27,6 +27,9 @@
             await ingress.change(await asyncio.to_thread(load_config, path), "reload")
         except BadConfig as error:
             ingress.refuse("reload", str(error))
+        except Exception as error:
+            # Guards the reloads that come after against a fault in this one.
+            ingress.refuse("reload", f"{type(error).__name__}: {error}")
 
 
 async def serve(config: Config, path: str, taken: Taken | None, early: list[int]) -> None:
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -326,9 +326,9 @@
         return not self.guard.inside() and not peek(self.sock)
 
     def departed(self) -> bool:
-        """Whether the client has gone, though the loop may not have told so yet: it tells nothing while reading is
-        paused, and late where the process stood still."""
-        if self.transport is None or self.transport.is_closing():
+        """Whether the client can't be answered any more, though the loop may not have told so yet: it tells nothing
+        while reading is paused, and late where the process stood still."""
+        if self.transport is None or self.lingering is not None or self.transport.is_closing():
             return True
         unread = peek(self.sock)
         return unread is None or (bool(unread) and ended_by_peer(self.sock))
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from mulleinhall.__main__ import follow
 from mulleinhall.interface import Settings, SettingsChanged
 from mulleinhall.net.agreement import READY_WITHIN, SETTLED_WITHIN, SILENT, TURN_WITHIN, UNDER_WAY
 from mulleinhall.net.config import Config, read_config
@@ -598,3 +599,27 @@
             assert TURN_WITHIN + READY_WITHIN < 1.0 and SETTLED_WITHIN < 1.0
 
     run(body())
+
+
+def test_a_fault_in_one_reload_does_not_end_those_that_come_after(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(plain(peer)) as (served, _):
+            path, reload = tmp_path / "config.json", asyncio.Event()
+            path.write_text(json.dumps(dict(like(served, settings=with_plan(refill=7.0)).document)
+                                       | {"seed": "1", "control": SECOND}), encoding="utf-8")
+
+            def faulty(name: str) -> Config:
+                monkeypatch.undo()
+                raise RuntimeError("a fault")
+
+            monkeypatch.setattr("mulleinhall.__main__.load_config", faulty)
+            task = asyncio.create_task(follow(str(path), served, reload))
+            reload.set()
+            await until(lambda: any("a fault" in line for line in served.generations.lines()))
+            reload.set()
+            await until(lambda: served.settings.plans[0].rate == 7.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    run(body())
