Let no time run against a client while it is not read

At fault: Client.hurry, which counts from self.arrived and due_from whatever was read. Ruled out: that a read always comes first; timers are served before it.

Change: the gap and the rate of a long value count from when it is read on; the time for a command runs while commands are read.

Tests: test_a_value_that_was_held_up_here_is_not_late_as_it_is_read_on, test_a_command_that_is_not_read_here_is_not_late; both fail before.

--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -111,7 +111,8 @@
         self.body: Slot | None = None  # of the request whose long value is coming
         self.left, self.tail = 0, b""  # bytes of it that are still to come, and the last that came
         self.held = False  # nobody takes more of it for now
-        self.body_due = 0.0  # when the next byte of it would be too late for the least rate
+        # When a piece of it came last, or it was read on; when the next byte would be too late for the least rate.
+        self.body_at, self.body_due = 0.0, 0.0
         self.behind = b""  # what came behind a command that is not taken yet
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
@@ -184,6 +185,7 @@
         """Passes on what belongs to the long value at hand; what is left comes after it."""
         piece = data[:self.left]
         self.left -= len(piece)
+        self.body_at = self.server.clock()
         self.body_due += len(piece) / LEAST_RATE
         self.tail = (self.tail + piece)[-2:]
         if not self.left:
@@ -203,8 +205,8 @@
     def hold(self, on: bool) -> None:
         """Back-pressure: whether the long value at hand is read no further."""
         now, on = self.server.clock(), on and self.body is not None
-        if on is not self.held:
-            self.body_due += -now if on else now  # what it waits for us is not its own doing
+        if on is not self.held:  # what it waits for us is not its own doing
+            self.body_at, self.body_due = now, self.body_due + (-now if on else now)
         self.held = on
         self._pace()
 
@@ -252,7 +254,7 @@
                 command = self.server.commands.read(verb, words, size)
                 if size:
                     self.body, self.left, self.tail = slot, size + 2, b""
-                    self.body_due = self.arrived + PAUSES
+                    self.body_at, self.body_due = self.used, self.used + PAUSES
                 self.server.handler.request(slot, command, self.arrived)
             elif size:
                 raise BadCommand("value too large")
@@ -349,11 +351,14 @@
         elif now - self.read_at > STALLED and self.transport is not None:
             self.transport.abort()  # it reads nothing of what waits for it
             return
-        if self.body is not None and not self.held and (now - self.arrived > PAUSES or now > self.body_due):
+        if self.body is not None and not self.held and (now - self.body_at > PAUSES or now > self.body_due):
             self.end()  # with a value that is not whole
             return
         if self.due_from is None or now - self.due_from < PATIENCE or self.ending:
             return
+        if self.full or self.choked or self.behind or self.last:
+            self.due_from = now  # it is not read: its command may have come
+            return
         if self.guard.inside():
             self._broken("no whole command in time")
         elif self.at_rest():
