Make the test of a second attempt after a standstill able to fail

Now: a control shows that a second attempt is made for a client that stays; the process stands still in the middle of reading from its connections, in which the client leaves, and timers come next.

--- a/tests/test_net_gone.py
+++ b/tests/test_net_gone.py
@@ -146,6 +146,7 @@
 
 
 def test_a_second_attempt_that_is_due_as_the_process_goes_on_is_not_made_for_a_client_that_left() -> None:
+    """The process stands still meanwhile, and timers are served before it hears of the end."""
     async def script(_: int, reader: Reader, writer: Writer) -> None:
         while True:
             words = await read_command(reader)
@@ -154,24 +155,45 @@
                 writer.write(value(b""))
 
     commands: list[bytes] = []
-    patient = [cls | {"aim-s": 3.0, "give-up-s": 6.0} for cls in SETTINGS["categories"]]
+    patient = [cls | {"aim-s": 2.0, "give-up-s": 6.0} for cls in SETTINGS["categories"]]
     settings = SETTINGS | {"limits": SETTINGS["limits"] | {"second-copies": True, "cancel": True},
                            "categories": patient}
 
+    class Standstill(asyncio.Protocol):
+        """The process stands still in the middle of reading from its connections, up to that time."""
+        until, leaves = 0.0, list[socket.socket]()
+
+        def data_received(self, data: bytes) -> None:
+            for client in self.leaves:
+                client.close()
+            time.sleep(max(0.0, self.until - time.monotonic()))
+
     async def body() -> None:
+        loop = asyncio.get_running_loop()
+        stop = await loop.create_server(Standstill, "127.0.0.1", 0)
         async with Peer(script) as one, Peer(script) as two, serving(
                 config(entry(one.address), entry(two.address, "s2"), settings=settings)) as (served, address):
             await warm(served, address, 2)
-            client = socket.create_connection(address)
-            began = time.monotonic()
-            client.sendall(command("gone", d=5000))
-            await until(lambda: b"gone" in commands)
-            assert time.monotonic() - began < 1.0
-            client.close()  # the process stands still, and its client leaves; the second one is due after 1.5 s
-            time.sleep(max(0.0, began + 1.7 - time.monotonic()))
-            await until(lambda: not served.clients.connections)
-            await until(lambda: not served.gateway.watched)
-            assert commands.count(b"gone") == 1
+            for server in served.gateway.fleet.servers.values():
+                server.limit = 32.0
+            served.gateway.fleet.change(api.BackendsChanged(api.ListKind.UPDATE), served.clock())
+            with socket.create_connection(stop.sockets[0].getsockname()) as still:
+                for name, stays in ((b"stays", True), (b"gone", False)):
+                    served.gateway.copy_odds, served.gateway.retries.level = 1.0, 10.0
+                    client = socket.create_connection(address)
+                    Standstill.until, Standstill.leaves = time.monotonic() + 1.2, [] if stays else [client]
+                    client.sendall(command(name.decode(), d=5000))
+                    while name not in commands:
+                        await asyncio.sleep(0.002)
+                    assert Standstill.until - time.monotonic() > 0.3
+                    still.send(b"now")  # the second one is due 0.2 s before the process goes on
+                    while served.gateway.watched:
+                        await asyncio.sleep(0.002)
+                    await asyncio.sleep(0.1)
+                    assert commands.count(name) == 1 + stays
+                    client.close()
+                    await until(lambda: not served.clients.connections)
+        stop.close()
 
     run(body())
 
