Keep a time before the last answer from ending a decision

At fault: exp of an unbounded exponent. A clock that goes back so far does not occur in service (the clocks of run are monotonic), a checkpoint is replayed at times before now. Ruled out: anything for times that go forward; there the factor is the same.

Change: nothing fades backwards. 190 tests of changes, cold servers, rules, upgrades and checkpoints pass.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -395,7 +395,7 @@
         """The work a second that the preferred carry from here.  Danger: cold budgets are spent in work;
         counted in answers, or kept through a pause, it lets all gateways together earn more than a server
         bears."""
-        return self.done * exp((self.done_at - now) / self._span())
+        return self.done * exp(min(0.0, self.done_at - now) / self._span())
 
     def work(self, job: Job) -> float:
         """How much work a request is likely to bring, beside the mean request."""
