Review: end the ingresses before the stand-ins stop

Cause: an ingress reconnected to a stand-in whose event loop was ending, which printed a traceback. Change: its processes are ended first, also when the script itself gets SIGTERM.

--- a/review/standins.py
+++ b/review/standins.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -390,14 +391,17 @@
         path = Path(self.folder.name) / f"{name}.log"
         return path.read_text(encoding="utf-8", errors="replace") if path.exists() else ""
 
-    def close(self) -> None:
-        """End all processes that were started, and remove the folder."""
+    def end_processes(self) -> None:
+        """End all processes that were started."""
         for process in self.processes:
             if process.poll() is None:
                 with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGCONT)
                     process.kill()
             process.wait()
+
+    def close(self) -> None:
+        """End all processes that were started, and remove the folder."""
+        self.end_processes()
         self.folder.cleanup()
 
 
@@ -546,10 +550,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     platform = Platform(record)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the `finally` below still ends all processes
 
     async def bounded() -> list[str]:
-        async with asyncio.timeout(limit_s):
-            return await body(record, platform, trouble)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await body(record, platform, trouble)
+        finally:
+            platform.end_processes()  # before the loop ends, so that nobody connects to it any more
 
     try:
         broken = asyncio.run(bounded())
