Acknowledge an answer at once, so that a late duplicate of it is seen before reuse

Cause: a connection is reused 20 ms after an answer if nothing more has arrived. The kernel delays the acknowledgement of the answer by 40 ms or more, and until then the kernel of a server without TCP_NODELAY holds a small second write back. The next command carried the acknowledgement and released the duplicate, which was taken for its answer.

Change: Connection._complete acknowledges the answer when it releases the connection. The duplicate then arrives on an idle connection and closes it.

--- a/ingress/runtime/sockets.py
+++ b/ingress/runtime/sockets.py
@@ -39,6 +39,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
+def acknowledge_received(sock: socket.socket) -> None:
+    """Acknowledge now what the kernel has received on this connection.
+
+    The kernel delays an acknowledgement by 40 ms or more, unless it has data to send. A peer without TCP_NODELAY holds
+    back small writes until then. If the system lacks the option, the acknowledgement is delayed as usual.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
+
 def seconds_since_last_receive(sock: socket.socket) -> float:
     """Return the seconds since the kernel last received data on this connection; 0 if it cannot report it."""
     size = LAST_RECEIVE_OFFSET + LAST_RECEIVE_BYTES
--- a/ingress/upstream/connection.py
+++ b/ingress/upstream/connection.py
@@ -14,7 +14,7 @@
 from ingress.decisions.endpoint import Outcome, Readiness
 from ingress.protocols.response_reader import INCOMPLETE, ResponseReader
 from ingress.runtime.clock import Clock
-from ingress.runtime.sockets import Address, peek_byte
+from ingress.runtime.sockets import Address, acknowledge_received, peek_byte
 from ingress.runtime.tls_sessions import ResumingContext
 from ingress.upstream.attempt import Attempt
 from ingress.upstream.response_parser import AttemptResult
@@ -218,7 +218,11 @@
         self.owner.finish_attempt(attempt, AttemptResult(Outcome.MALFORMED))
 
     def _complete(self, attempt: Attempt, reply: Any) -> None:
-        """End the attempt with its reply; release the connection unless more data could belong to the same reply."""
+        """End the attempt with its reply; release the connection unless more data could belong to the same reply.
+
+        The reply is acknowledged at once: otherwise the endpoint's kernel may hold back a late duplicate of it until
+        the next command acknowledges the reply, and `REUSE_DELAY_S` passes without a trace of the duplicate.
+        """
         self.attempt = None
         if self.session_store is not None and self.transport is not None:
             self.session_store.store_session(self.address, self.transport.get_extra_info("ssl_object"))
@@ -227,6 +231,7 @@
         if self.reader.has_data() or not attempt.is_complete or result.outcome is Outcome.MALFORMED:
             self.close()
         else:
+            acknowledge_received(self.socket)
             self.reusable_at = self.owner.clock() + REUSE_DELAY_S
             self.owner.release(self)
         self.set_reading(True)
