Answer the commands that wait in the parser before a connection is closed

Cause: a connection executes at most 64 commands before their answers are written, and none while its client reads slowly. The others wait in the parser, but is_idle, drain, _is_finished and the timeout of a drain looked only at slots, unparsed bytes and the socket, and took the connection for idle.

Evidence: the state as the drain closed it: 200 frames complete, 128 executed, no slot, nothing unparsed or unread, writing paused, is_idle true.

Change: the parser reports complete commands that it has not returned, and each decision to close a connection asks for them.

--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -198,8 +198,8 @@
         if self.unparsed:
             self._consume(self.unparsed)
             self._update_reading()
-        if self.is_draining and not self.slots:
-            self.drain()
+        if self.is_draining and self._is_finished():
+            self.close_gracefully()
 
     def _update_reading(self) -> None:
         """Pause or resume reading from the client.
@@ -225,10 +225,7 @@
 
     def _execute_parsed(self) -> None:
         """Execute the commands that the parser has completed, up to the limit on pipelined commands."""
-        while self.transport is not None and not self.is_closing and not self.is_write_paused:
-            if len(self.slots) >= MAX_PIPELINED:
-                self.pipeline_full = True
-                break
+        while self._may_execute():
             try:
                 arguments = self.parser.next_command()
             except CommandError as error:
@@ -239,6 +236,19 @@
             self._execute(arguments, self.parser.take_body_size())
         self._update_reading()
 
+    def _may_execute(self) -> bool:
+        """Report whether another command may be executed now."""
+        if self.transport is None or self.is_closing:
+            return False
+        if len(self.slots) >= MAX_PIPELINED:
+            self.pipeline_full = True
+            return False
+        return not self.is_write_paused
+
+    def has_unexecuted(self) -> bool:
+        """Report whether a command has been received that waits to be executed."""
+        return self.parser.has_command() or bool(self.unparsed)
+
     def _execute(self, arguments: list[Any], body_size: int) -> None:
         """Execute one command.
 
@@ -324,7 +334,7 @@
             return False
         if self.is_closing:
             return True
-        return self.server.draining_since is not None and not self.pipeline_full and not self.unparsed
+        return self.server.draining_since is not None and not self.has_unexecuted()
 
     def _resume_source(self) -> None:
         """Resume the source of the long value at the head of the queue unless writing is paused."""
@@ -347,11 +357,12 @@
     def drain(self) -> None:
         """Close the connection once it is idle.
 
-        Commands sent after a request in flight are no longer read; the client sends them to another gateway.
+        Commands sent after a request in flight are no longer read; the client sends them to another gateway. Those that
+        have been read are answered, also if they still wait to be executed.
         """
         if self.upload is not None:
             return  # `_read_upload` drains once the body is complete.
-        if self.slots:
+        if self.slots or self.has_unexecuted():
             self.is_draining = True
             self._update_reading()
         elif self.is_idle():
@@ -367,12 +378,12 @@
             self.drain()
 
     def is_idle(self) -> bool:
-        """Report whether no request is in flight, partly received or unread in the socket.
+        """Report whether no request is in flight, waiting to be executed, partly received or unread in the socket.
 
         The socket is checked as well, so that a request that has arrived but that the event loop has not reported yet
         does not find its connection closed.
         """
-        if self.slots or self.upload is not None or self.unparsed:
+        if self.slots or self.upload is not None or self.has_unexecuted():
             return False
         if self.transport is None or self.linger_timer is not None:
             return False
--- a/ingress/server/client_timeouts.py
+++ b/ingress/server/client_timeouts.py
@@ -32,7 +32,9 @@
 def _drain_is_overdue(connection: ClientConnection, now: float) -> bool:
     """Report whether a drain has waited long enough for a client without a request in flight."""
     draining_since = connection.server.draining_since
-    if draining_since is None or connection.linger_timer is not None or connection.slots:
+    if draining_since is None or connection.linger_timer is not None:
+        return False
+    if connection.slots or connection.has_unexecuted():
         return False
     return now - draining_since > DRAIN_COMMAND_TIMEOUT
 
--- a/ingress/server/command_parser.py
+++ b/ingress/server/command_parser.py
@@ -20,13 +20,15 @@
     Attributes:
         scanner: Checks frames before they are parsed.
         incomplete_bytes: The number of bytes received since the last complete command.
+        returned_frames: The number of the scanner's complete frames that `next_command` has returned.
     """
 
-    __slots__ = ("_reader", "incomplete_bytes", "scanner")
+    __slots__ = ("_reader", "incomplete_bytes", "returned_frames", "scanner")
 
     def __init__(self) -> None:
         self.scanner = CommandScanner(MAX_ARGUMENTS)
         self.incomplete_bytes = 0
+        self.returned_frames = 0
         self._reader = hiredis.Reader(notEnoughData=INCOMPLETE)
 
     def feed(self, data: bytes) -> bytes:
@@ -54,14 +56,20 @@
         except (hiredis.HiredisError, MemoryError) as error:
             raise CommandError(f"broken frame: {error}") from error
         if arguments is INCOMPLETE:
+            self.returned_frames = self.scanner.complete_frames()
             if self.incomplete_bytes > MAX_COMMAND_BYTES:
                 raise CommandError("value too large")
             return None
+        self.returned_frames += 1
         self.incomplete_bytes = 0
         if not isinstance(arguments, list):
             raise CommandError("a command is an array of bulk strings")
         return arguments
 
+    def has_command(self) -> bool:
+        """Report whether a command has been received completely that `next_command` has not returned yet."""
+        return self.scanner.complete_frames() > self.returned_frames
+
     def take_body_size(self) -> int:
         """Return and clear the size of the long body that follows the command just returned; 0 if there is none."""
         size = self.scanner.long_argument_size
