Refuse the commands that still wait when a shutdown has no time left

Seen: 100 requests on one connection, endpoints that hang through the whole shutdown: the 64 in flight are answered "failed", the 36 behind them get no answer, because ClientServer.close ended connections with commands that had been read and not executed.

Change: RequestHandler.stop ends the requests in flight and refuses what comes later, and ClientServer.close executes all that waits before it ends a connection.

Test: test_commands_behind_hanging_ones_are_refused_when_no_time_is_left; before, 64 answers instead of 100.

--- a/ingress/graceful_shutdown.py
+++ b/ingress/graceful_shutdown.py
@@ -53,8 +53,7 @@
                 await self.clients_may_close.wait()
         self.clients.stop_accepting()
         await self._wait_for_disconnects(abort_at, CONNECTION_POLL_INTERVAL)
-        for request in list(self.requests.in_flight.values()):
-            self.requests.abort(request)
+        self.requests.stop()
         self.clients.close()
         await self._wait_for_disconnects(loop.time() + FLUSH_TIMEOUT, FLUSH_POLL_INTERVAL)
         INGRESS_LOG.info("%s has stopped serving", self.name)
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -84,6 +84,7 @@
         pipeline_full: Whether too many commands wait for a response.
         is_write_paused: Whether writing is paused because the client reads slowly.
         is_draining: Whether reading has stopped while the commands already received are answered.
+        is_unlimited: Whether all received commands are executed at once, whatever waits for the client.
     """
 
     def __init__(self, server: ConnectionOwner, sock: socket.socket, peer: str) -> None:
@@ -107,6 +108,7 @@
         self.pipeline_full = False
         self.is_write_paused = False
         self.is_draining = False
+        self.is_unlimited = False
 
     # Reading
 
@@ -240,11 +242,18 @@
         """Report whether another command may be executed now."""
         if self.transport is None or self.is_closing:
             return False
+        if self.is_unlimited:
+            return True
         if len(self.slots) >= MAX_PIPELINED:
             self.pipeline_full = True
             return False
         return not self.is_write_paused
 
+    def execute_all(self) -> None:
+        """Execute all received commands now; for a handler that answers each of them at once."""
+        self.is_unlimited = True
+        self._resume_reading()
+
     def has_unexecuted(self) -> bool:
         """Report whether a command has been received that waits to be executed."""
         return self.parser.has_command() or bool(self.unparsed)
--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -266,11 +266,12 @@
         self.acceptor.close()
 
     def close(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener, and each connection after the answers to all commands that have been read from it."""
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
         self.acceptor.close()
         for connection in list(self.connections):
+            connection.execute_all()
             connection.close_gracefully()
 
     def metrics(self) -> dict[str, int]:
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from ingress.decisions.actions import StartAttempt
+from ingress.decisions.admission import RejectionReason
 from ingress.decisions.endpoint import Outcome
 from ingress.decisions.events import (
     AttemptEnded,
@@ -62,6 +63,7 @@
         in_flight: The requests in flight by request id.
         attempts_in_flight: The attempts in flight by request id and number of the attempt.
         received_count: The number of requests received since the start.
+        is_stopped: Whether requests are refused at once, because no time is left to forward them.
     """
 
     def __init__(self, pool: ConnectionPool, feed: Callable[[Event], None], limits: RequestLimits) -> None:
@@ -75,6 +77,7 @@
         self.in_flight: dict[str, PendingRequest] = {}
         self.attempts_in_flight: dict[tuple[str, int], Attempt] = {}
         self.received_count = 0
+        self.is_stopped = False
 
     # Called by client connections
 
@@ -93,6 +96,9 @@
             self._start_deadline_timer(request)
         else:
             self.budget.streaming_uploads += 1
+        if self.is_stopped:
+            self.reject(request_id, 0.0, RejectionReason.DEADLINE.value)
+            return
         self.feed(
             RequestReceived(
                 request_id,
@@ -307,6 +313,12 @@
             log.warning("no answer to request %.80r by its deadline; forced a final answer", request.command.client_id)
             self.abort(request)
 
+    def stop(self) -> None:
+        """End all requests in flight, and refuse those that are received from now on."""
+        self.is_stopped = True
+        for request in list(self.in_flight.values()):
+            self.abort(request)
+
     def abort(self, request: PendingRequest) -> None:
         """End a request that has no answer, or whose streamed answer can't be completed."""
         if request.streaming_attempt is not None:
--- a/tests/test_net_unexecuted_commands.py
+++ b/tests/test_net_unexecuted_commands.py
@@ -197,6 +197,27 @@
     run_async(body())
 
 
+def test_commands_behind_hanging_ones_are_refused_when_no_time_is_left(tmp_path: Path) -> None:
+    """Guards against commands beyond the pipeline's limit that get no answer when the process exits."""
+    waiting = 36
+
+    async def body() -> None:
+        async with gated_endpoint(asyncio.Event()) as peer, launched(tmp_path, *eight_endpoints(peer)) as program:
+            await program.ready()
+            client = await connect(program.address)
+            client.sendall(numbered_commands(MAX_PIPELINED + waiting, timeout_ms=30_000))
+            await asyncio.sleep(READ_TIME_S)
+            program.process.send_signal(signal.SIGTERM)
+            answers = [str(answer) for answer in read_answers(await read_to_eof(client))]
+            client.close()
+            assert await program.ended() == 0, program.log
+            assert len(answers) == MAX_PIPELINED + waiting
+            assert answers[-waiting:] == ["BUSY"] * waiting
+            check_no_traceback(program)
+
+    run_async(body())
+
+
 def test_a_connection_whose_next_commands_are_about_to_be_executed_is_not_idle() -> None:
     """Guards against closing it for its descriptor between the last answer and the next command."""
 
