Execute the commands before bytes that can't be parsed, then end the connection

Seen: 200 requests and then a header of too many words: only 64 requests are answered, the rest are dropped though they came first and are valid.

Cause: _read_commands reported the scanner's error at once, also while commands before it waited in the parser; is_closing then stopped their execution.

Change: _execute_parsed reports it once the parser has nothing left.

--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -162,8 +162,6 @@
         elif self.command_due_since is None or self.scanner.complete_frames() > frames_before:
             self.command_due_since = self.received_at
         self._execute_parsed()
-        if self.scanner.error and not self.is_closing:
-            self.fail_protocol(self.scanner.error)
         return remaining
 
     def _read_upload(self, upload: UploadReader, data: bytes) -> bytes:
@@ -226,16 +224,23 @@
     # Commands
 
     def _execute_parsed(self) -> None:
-        """Execute the commands that the parser has completed, up to the limit on pipelined commands."""
+        """Execute the commands that the parser has completed, up to the limit on pipelined commands.
+
+        What can't be parsed any further ends the connection once all commands before it are executed.
+        """
         while self._may_execute():
             try:
                 arguments = self.parser.next_command()
             except CommandError as error:
                 self.fail_protocol(str(error))
                 return
-            if arguments is None:
+            if arguments is not None:
+                self._execute(arguments, self.parser.take_body_size())
+            elif self.scanner.error:
+                self.fail_protocol(self.scanner.error)
+                return
+            else:
                 break
-            self._execute(arguments, self.parser.take_body_size())
         self._update_reading()
 
     def _may_execute(self) -> bool:
--- a/tests/test_net_unexecuted_commands.py
+++ b/tests/test_net_unexecuted_commands.py
@@ -245,6 +245,26 @@
     run_async(body())
 
 
+@pytest.mark.parametrize("malformed", [b"*100\r\n", b"nonsense\r\n"])
+def test_commands_before_a_malformed_one_are_answered(malformed: bytes) -> None:
+    """Guards against commands that are dropped because what follows them can't be parsed."""
+
+    async def body() -> None:
+        async with (
+            endpoint_with_long_answers() as peer,
+            running_ingress(config(endpoint_entry(peer.address))) as (_, address),
+        ):
+            client = await connect(address)
+            client.sendall(numbered_commands(COUNT) + malformed)
+            data = await read_to_eof(client)
+            client.close()
+            error = data.rindex(b"-ERR")
+            check_all_are_answered(data[:error])
+            assert len(read_answers(data[error:])) == 1
+
+    run_async(body())
+
+
 @pytest.mark.parametrize("step", [1, 7, 1 << 20])
 def test_the_parser_reports_complete_commands_only(step: int) -> None:
     """Guards against a connection that never counts as idle, or does too early."""
