Read a long body to its end when its command waited as a drain began

Seen: 64 requests in flight, behind them a write with a body of 64 KiB; a drain begins. The write's command is executed in its turn, but its body is never read, and the connection ends after the 2.5 s that a body may pause.

Cause: _update_reading kept reading paused for the drain, whose rule is that later commands are not read. A body is not a later command.

Change: reading is not paused for a drain while a body is received; what follows the body is handled as before.

--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -212,7 +212,7 @@
             self.pipeline_full
             or self.is_write_paused
             or self.unparsed
-            or self.is_draining
+            or (self.is_draining and self.upload is None)
             or self.is_closing
             or self.upload_paused
         )
--- a/tests/test_net_unexecuted_commands.py
+++ b/tests/test_net_unexecuted_commands.py
@@ -245,6 +245,28 @@
     run_async(body())
 
 
+def test_a_long_body_behind_waiting_commands_is_received_during_a_drain() -> None:
+    """Guards against a body that is never read, because reading stopped before its command was executed."""
+    gate = asyncio.Event()
+
+    async def body() -> None:
+        async with (
+            gated_endpoint(gate) as peer,
+            running_ingress(config(endpoint_entry(peer.address))) as (served, address),
+        ):
+            served.runner.gateway = StubGateway(start_attempts)  # type: ignore[assignment]
+            client = await connect(address)
+            write = command(f"{MAX_PIPELINED:016x}", "order", body=LONG_BODY)
+            await asyncio.get_running_loop().sock_sendall(client, numbered_commands(MAX_PIPELINED) + write)
+            await wait_until(lambda: len(served.requests.in_flight) == MAX_PIPELINED)
+            served.clients.set_draining(True)
+            gate.set()
+            check_all_are_answered(await read_to_eof(client), MAX_PIPELINED + 1)
+            client.close()
+
+    run_async(body())
+
+
 @pytest.mark.parametrize("malformed", [b"*100\r\n", b"nonsense\r\n"])
 def test_commands_before_a_malformed_one_are_answered(malformed: bytes) -> None:
     """Guards against commands that are dropped because what follows them can't be parsed."""
