Count the time that a command waits to be executed towards its deadline

Seen: a client pipelines 200 requests of 2.5 s and reads nothing for 2.6 s; then show-stat has 100 refusals for `servers` and 3 for `attempt`, although every endpoint answers. One of 134 requests of other clients was refused.

Cause: RequestReceived.time_waited was the time that the bytes had waited in the socket. A command that had waited in the parser past its deadline began an attempt, which ConnectionPool.start_attempt ended as a failed connect, and that counts against the endpoint.

Change: time_waited is the time since the command arrived, and the time left of a body likewise. Admission refuses an expired request (`late`).

--- a/ingress/decisions/events.py
+++ b/ingress/decisions/events.py
@@ -46,7 +46,7 @@
         is_write: Whether it changes data.
         memory_available: Whether this process has memory for one more request.
         is_chunked: Whether it has a long body that has yet to arrive, and is forwarded chunk by chunk.
-        time_waited: The seconds that had passed before this process could read the request.
+        time_waited: The seconds that had passed before this process could execute the request.
     """
 
     request_id: str
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -75,7 +75,6 @@
         upload: The reader of a long body while it is being received.
         unparsed: The bytes received after a command that has not been executed yet.
         received_at: The time at which the bytes that were read last arrived at this machine.
-        read_delay: The seconds for which those bytes waited in the socket.
         last_used_at: The time at which a command was last read or a response last written.
         command_due_since: The time since which a complete command has been due; None if none is due.
         unsent_bytes: The number of written bytes that are still in the write buffer.
@@ -98,7 +97,6 @@
         self.upload: UploadReader | None = None
         self.unparsed = b""
         self.received_at = 0.0
-        self.read_delay = 0.0
         self.last_used_at = server.clock()
         # The time that a connection spent in the accept queue counts towards the timeout of its first command.
         self.command_due_since: float | None = self.last_used_at - seconds_since_last_receive(sock)
@@ -134,8 +132,7 @@
     def data_received(self, data: bytes) -> None:
         """Process received bytes: commands and long bodies."""
         now = self.last_used_at = self.server.clock()
-        self.read_delay = self.server.read_delay(self.socket, now)
-        self.received_at = now - self.read_delay
+        self.received_at = now - self.server.read_delay(self.socket, now)
         self._consume(self.unparsed + data if self.unparsed else data)
 
     def _consume(self, data: bytes) -> None:
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -113,7 +113,7 @@
                 command.is_write,
                 memory_available,
                 request.upload is not None,
-                slot.connection.read_delay,
+                self.clock() - received_at,
             )
         )
 
@@ -131,7 +131,7 @@
         if is_last:
             request.deadline = received_at + request.command.timeout
             self._start_deadline_timer(request)
-            time_left = max(0.0, decision_timeout(request.command) - slot.connection.read_delay)
+            time_left = max(0.0, decision_timeout(request.command) - (self.clock() - received_at))
             self.feed(UploadFinished(request.request_id, time_left))
         self._forward_upload(request, request.upload)
 
--- a/ingress/server/request_receiver.py
+++ b/ingress/server/request_receiver.py
@@ -12,11 +12,11 @@
     """Receives requests from client connections."""
 
     def receive_request(self, slot: ResponseSlot, command: Command, received_at: float) -> None:
-        """Handle a request; its body may still have to be received."""
+        """Handle a request that was received at this time; its body may still have to be received."""
         ...
 
     def receive_body(self, slot: ResponseSlot, chunk: bytes, is_last: bool, received_at: float) -> None:
-        """Handle a chunk of a request's body."""
+        """Handle a chunk of a request's body that was received at this time."""
         ...
 
     def client_disconnected(self, slot: ResponseSlot) -> None:
--- a/ingress/server/response_slot.py
+++ b/ingress/server/response_slot.py
@@ -22,11 +22,9 @@
 
     Attributes:
         is_write_paused: Whether writing is paused because the client reads slowly.
-        read_delay: The seconds for which the bytes that were read last waited in the socket.
     """
 
     is_write_paused: bool
-    read_delay: float
 
     def flush(self) -> None:
         """Write the responses and chunks that are next in the order of the commands."""
--- a/tests/test_net_unexecuted_commands.py
+++ b/tests/test_net_unexecuted_commands.py
@@ -16,6 +16,7 @@
 
 from ingress.ingress import Ingress
 from ingress.protocols.resp import LONG_VALUE_BYTES
+from ingress.runtime.clock import MS_PER_SECOND
 from ingress.runtime.sockets import peek_byte
 from ingress.server import client_timeouts
 from ingress.server.client_connection import MAX_PIPELINED
@@ -98,12 +99,12 @@
         assert str(answer).startswith("BUSY") if isinstance(answer, Exception) else answer.strip() == b"%016x" % number
 
 
-async def send_without_reading(served: Ingress, address: Address) -> socket.socket:
+async def send_without_reading(served: Ingress, address: Address, timeout_ms: int = 2000) -> socket.socket:
     """Send COUNT commands and read nothing; return when all are read, and some wait although none is in flight."""
     gateway = served.runner.gateway
     served.runner.gateway = StubGateway(start_attempts)  # type: ignore[assignment]
     client = await connect(address, RECEIVE_BUFFER_BYTES)
-    client.sendall(numbered_commands(COUNT))
+    client.sendall(numbered_commands(COUNT, timeout_ms))
     await wait_until(lambda: served.requests.received_count and not served.requests.in_flight)
     served.runner.gateway = gateway
     [connection] = [connection for connection in served.clients.connections if connection.is_write_paused]
@@ -267,6 +268,27 @@
     run_async(body())
 
 
+def test_commands_that_waited_past_their_deadline_are_refused_without_an_attempt() -> None:
+    """Guards against attempts with no time left, which made endpoints look as if they refused connections."""
+    timeout_ms = 500
+
+    async def body() -> None:
+        async with (
+            endpoint_with_long_answers() as peer,
+            running_ingress(config(endpoint_entry(peer.address))) as (served, address),
+        ):
+            client = await send_without_reading(served, address, timeout_ms)
+            waiting = COUNT - served.requests.received_count
+            await asyncio.sleep(timeout_ms / MS_PER_SECOND)
+            served.clients.set_draining(True)
+            answers = read_answers(await read_to_eof(client))
+            client.close()
+            assert [str(answer)[:4] for answer in answers[-waiting:]] == ["BUSY"] * waiting
+            assert served.metrics.rejections_by_reason == {"late": waiting}
+
+    run_async(body())
+
+
 @pytest.mark.parametrize("malformed", [b"*100\r\n", b"nonsense\r\n"])
 def test_commands_before_a_malformed_one_are_answered(malformed: bytes) -> None:
     """Guards against commands that are dropped because what follows them can't be parsed."""
