Close no connection as idle before its client has received the last answer

Seen: a client reads slowly, the limit is lowered or a place is needed, the connection is closed as idle; the client sends another request and gets "Connection reset by peer" in place of the rest of its answer.

Cause: the paths that close an idle connection at once looked at the write buffer of the transport or at nothing, and not at what the kernel still holds for the client. A closed socket answers further bytes by a reset.

Change: ClientConnection.is_closable also asks the kernel (TIOCOUTQ).

Test: test_a_connection_whose_client_has_not_received_its_answer_is_not_ closed_as_idle, for both paths; ConnectionResetError before. Cost: one system call for each connection that is about to be closed.

--- a/ingress/runtime/sockets.py
+++ b/ingress/runtime/sockets.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import socket
 import sys
+import termios
 
 from ingress.runtime.clock import MS_PER_SECOND
 
@@ -19,6 +21,7 @@
 CLOSED_STATES = frozenset((7, 8))  # tcpi_state: TCP_CLOSE (after a reset) and TCP_CLOSE_WAIT (<netinet/tcp.h>)
 LAST_RECEIVE_OFFSET = 52  # the offset of tcpi_last_data_recv (milliseconds) in struct tcp_info (<linux/tcp.h>)
 LAST_RECEIVE_BYTES = 4  # the size of that field
+C_INT_BYTES = 4  # the size of the result of TIOCOUTQ
 
 
 def enable_keepalive(sock: socket.socket, unacknowledged: float = UNACKNOWLEDGED_TIMEOUT_S) -> None:
@@ -49,6 +52,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer has not acknowledged; 0 if the system can't report it."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(C_INT_BYTES))
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def seconds_since_last_receive(sock: socket.socket) -> float:
     """Return the seconds since the kernel last received data on this connection; 0 if it cannot report it."""
     size = LAST_RECEIVE_OFFSET + LAST_RECEIVE_BYTES
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -10,7 +10,7 @@
 
 from ingress.protocols.resp import bulk
 from ingress.runtime.clock import Clock
-from ingress.runtime.sockets import is_closed_by_peer, peek_byte, seconds_since_last_receive
+from ingress.runtime.sockets import is_closed_by_peer, peek_byte, seconds_since_last_receive, unacknowledged_bytes
 from ingress.server.command_parser import CommandParser
 from ingress.server.commands import READ_VERB, WRITE_VERB, CommandError, CommandReader
 from ingress.server.lingering_connection import LingeringConnection
@@ -400,6 +400,13 @@
             return False
         return not self.scanner.in_frame() and not peek_byte(self.socket)
 
+    def is_closable(self) -> bool:
+        """Report whether the connection is idle and can be closed at once without losing an answer.
+
+        Closing at once resets the connection if the client sends more, and what it has not received yet is lost.
+        """
+        return self.has_flushed() and self.is_idle() and not unacknowledged_bytes(self.socket)
+
     def is_disconnected(self) -> bool:
         """Report whether the client can't be answered any more, even if the event loop has not reported it yet.
 
--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -186,13 +186,10 @@
         candidates = [
             connection
             for connection in self.connections
-            if not connection.slots
-            and not connection.is_closing
-            and is_candidate(connection)
-            and connection.has_flushed()
+            if not connection.slots and not connection.is_closing and is_candidate(connection)
         ]
         candidates.sort(key=lambda connection: connection.last_used_at)
-        return next((connection for connection in candidates if connection.is_idle()), None)
+        return next((connection for connection in candidates if connection.is_closable()), None)
 
     def _close_idle_of(self, peer: str) -> bool:
         """Close one idle connection from an address to make room for a new one from there.
--- a/ingress/server/client_timeouts.py
+++ b/ingress/server/client_timeouts.py
@@ -26,7 +26,7 @@
 
 def has_expired(connection: ClientConnection, now: float) -> bool:
     """Report whether the connection has been idle for so long that it may be closed."""
-    return now - connection.last_used_at > IDLE_TIMEOUT and connection.is_idle()
+    return now - connection.last_used_at > IDLE_TIMEOUT and connection.is_closable()
 
 
 def _drain_is_overdue(connection: ClientConnection, now: float) -> bool:
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
 
 import pytest
 
-from ingress.server import lingering_connection
+from ingress.ingress import Ingress
+from ingress.server import client_timeouts, lingering_connection
+from ingress.server.client_server import SWEEP_INTERVAL
 from ingress.server.response_slot import ResponseSlot
 from tests.peers import (
     Peer,
@@ -217,3 +220,40 @@
             assert len(served.clients.connections) <= 8 == len(busy)
 
     run_async(body())
+
+
+async def lower_limit(served: Ingress) -> None:
+    served.clients.resize(0)
+    await asyncio.sleep(2 * SWEEP_INTERVAL)
+
+
+async def free_one(served: Ingress) -> None:
+    served.clients._close_one_idle()
+
+
+@pytest.mark.parametrize("disruption", [lower_limit, free_one])
+def test_a_connection_whose_client_has_not_received_its_answer_is_not_closed_as_idle(
+    disruption: Callable[[Ingress], Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close that turns into a reset, and destroys the answer, when the client sends one more."""
+    monkeypatch.setattr(client_timeouts, "IDLE_TIMEOUT", 0.0)
+
+    async def body() -> None:
+        async with (
+            fake_endpoint(endpoint_answer(b"x" * ANSWER_BYTES)) as peer,
+            running_ingress(config(endpoint_entry(peer.address))) as (served, address),
+        ):
+            client = await connect(address, 4096)  # Most of the answer waits in the buffers of the kernel.
+            client.send(command("first"))
+            await wait_until(lambda: peer.commands and not served.requests.in_flight)
+            await disruption(served)
+            client.send(command("second"))
+            await asyncio.sleep(SWEEP_INTERVAL / 4)  # Long enough for a reset to arrive.
+            answer = b"$%d\r\n%b\r\n" % (ANSWER_BYTES, b"x" * ANSWER_BYTES)
+            received = bytearray()
+            while len(received) < len(answer):
+                received += await asyncio.get_running_loop().sock_recv(client, 1 << 16)
+            assert received.startswith(answer)
+            client.close()
+
+    run_async(body())
