Tests: keep the ports of programs reserved until the end of a test

Cause: free_port and launched bound a port, released it and gave it to a program that binds it up to a second later. The system draws such ports at random, so a second draw may return the same one.

Change: a port stays bound, without a listener, until the test ends. The system gives it to nobody else, and a program may still listen on it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,7 +19,7 @@
 from ingress.decisions.gateway import Gateway
 from ingress.decisions.settings import Idempotency, KeyScope, Plan, RequestClass, Settings
 from tests.known_red import load_known_red
-from tests.peers import STARTED_PROCESSES
+from tests.peers import RESERVED_PORTS, STARTED_PROCESSES
 
 KNOWN_FAILURES = {known.test: known for known in load_known_red()}
 
@@ -71,6 +71,14 @@
                 os.kill(process.pid, signal.SIGKILL)
 
 
+@pytest.fixture(autouse=True)
+def release_reserved_ports() -> Iterator[None]:
+    """Release the ports that a test has reserved."""
+    yield
+    while RESERVED_PORTS:
+        RESERVED_PORTS.pop().close()
+
+
 class GatewayHarness:
     """A gateway under test with a simulated clock.
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Self
 
@@ -35,6 +36,22 @@
 # Those still running are killed after each test, whether it passes or fails.
 STARTED_PROCESSES: list[asyncio.subprocess.Process] = []
 
+RESERVED_PORTS: list[socket.socket] = []  # Closed after each test.
+
+
+def free_port() -> int:
+    """Return a port that nothing else gets until the end of the test.
+
+    The port stays bound without a listener, so that connects to it are refused until a program listens on it, with
+    SO_REUSEADDR. Were it released, the system could give it to another socket before that.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    RESERVED_PORTS.append(reserved)
+    port: int = reserved.getsockname()[1]
+    return port
+
 
 class Peer:
     """A scripted server.
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -49,6 +49,7 @@
     endpoint_answer,
     endpoint_entry,
     fake_endpoint,
+    free_port,
     read_command,
     run_async,
     wait_until,
@@ -56,7 +57,7 @@
 from tests.test_net_control import ADMIN_LISTEN, admin_call
 from tests.test_net_handover import ingress_process
 from tests.test_net_ingress import running_ingress
-from tests.test_net_restart import free_port, running_program, start_program
+from tests.test_net_restart import running_program, start_program
 from tests.test_settings import FIXED
 
 PLAN = SETTINGS["contracts"][0]
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -17,9 +17,19 @@
 
 import pytest
 
-from tests.peers import Address, Reader, RespClient, Writer, command, endpoint_entry, fake_endpoint, resp, run_async
+from tests.peers import (
+    Address,
+    Reader,
+    RespClient,
+    Writer,
+    command,
+    endpoint_entry,
+    fake_endpoint,
+    free_port,
+    resp,
+    run_async,
+)
 from tests.test_net_discovery import endpoint_list_json
-from tests.test_net_restart import free_port
 from tests.test_net_signals import Program, check_no_traceback, launched
 
 MAX_DESCRIPTORS = 128  # Descriptors that the process may open, by its configuration and by its resource limit.
--- a/tests/test_net_members.py
+++ b/tests/test_net_members.py
@@ -27,11 +27,11 @@
     config_text,
     endpoint_entry,
     fake_endpoint,
+    free_port,
     resp,
     wait_until,
 )
 from tests.test_net_handover import CUSTOMER_7, SMALL_BURST_SETTINGS, ingress_config, ingress_process, listen_address
-from tests.test_net_restart import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = resp(b"PING")
--- a/tests/test_net_readiness.py
+++ b/tests/test_net_readiness.py
@@ -22,10 +22,10 @@
     command,
     endpoint_entry,
     fake_endpoint,
+    free_port,
     resp,
     run_async,
 )
-from tests.test_net_restart import free_port
 from tests.test_net_signals import Program, check_no_traceback, launched
 
 READY_TIMEOUT_S = 10.0  # From the start to +PONG.
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -27,6 +27,7 @@
     endpoint_answer,
     endpoint_entry,
     fake_endpoint,
+    free_port,
     read_command,
     resp,
     run_async,
@@ -36,12 +37,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port: int = server.getsockname()[1]
-        return port
-
-
 async def start_program(path: Path) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
--- a/tests/test_net_signals.py
+++ b/tests/test_net_signals.py
@@ -32,6 +32,7 @@
     endpoint_answer,
     endpoint_entry,
     fake_endpoint,
+    free_port,
     read_command,
     resp,
     run_async,
@@ -131,9 +132,8 @@
         at: The address for clients; None chooses a free port.
         changes: Changes to its configuration.
     """
-    with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as other:
-        address = at or one.getsockname()
-        control = other.getsockname()
+    address = at or ("127.0.0.1", free_port())
+    control = ("127.0.0.1", free_port())
     path = folder / f"config-{address[1]}.json"
     path.write_text(
         config_text(*servers, listen=f"127.0.0.1:{address[1]}", control=f"127.0.0.1:{control[1]}", **changes),
--- a/tests/test_net_tls.py
+++ b/tests/test_net_tls.py
@@ -30,6 +30,7 @@
     config_text,
     endpoint_answer,
     endpoint_entry,
+    free_port,
     read_command,
     resp,
     run_async,
@@ -37,7 +38,6 @@
 )
 from tests.test_net_backends import PoolUnderTest
 from tests.test_net_ingress import running_ingress
-from tests.test_net_restart import free_port
 
 PING = resp(b"PING")
 LONG_VALUE = bytes(range(256)) * (MAX_VALUE_BYTES // 256)
--- a/tests/test_registry_backups.py
+++ b/tests/test_registry_backups.py
@@ -20,8 +20,7 @@
 from ingress.endpoint_registry.backups import backups, choose, take_backup, verify
 from ingress.endpoint_registry.registration import Entry, Registration, RegistrationRejectedError
 from ingress.endpoint_registry.store import SCHEMA_VERSION, Store, StoreError
-from tests.peers import wait_until
-from tests.test_net_restart import free_port
+from tests.peers import free_port, wait_until
 from tests.test_registry import TOKEN, endpoint_row, run_async, running_registry
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -28,12 +28,12 @@
     command,
     config,
     endpoint_answer,
+    free_port,
     read_command,
 )
 from tests.test_net_control import ADMIN_LISTEN
 from tests.test_net_ingress import running_ingress as ingress
 from tests.test_net_metrics import read_metrics
-from tests.test_net_restart import free_port
 from tests.test_registry import ROOT, TOKEN, Client, endpoint_row, run_async, running_registry
 
 
