--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -8,9 +8,9 @@
 from collections import deque
 from typing import Any, Protocol
 
-from ingress.protocols.resp import bulk
 from ingress.runtime.clock import Clock
 from ingress.runtime.sockets import is_closed_by_peer, peek_byte, seconds_since_last_receive, unacknowledged_bytes
+from ingress.server.builtin_commands import answer_builtin
 from ingress.server.command_parser import CommandParser
 from ingress.server.commands import READ_VERB, WRITE_VERB, CommandError, CommandReader
 from ingress.server.lingering_connection import LingeringConnection
@@ -22,12 +22,8 @@
 
 MAX_PIPELINED = 64  # Commands of a connection that wait for a response; no more are read until some are answered.
 MAX_MALFORMED = 16  # Malformed commands that are tolerated on a connection; the next one ends it.
-PING_MESSAGE_ARGUMENT_COUNT = 2  # Arguments of a PING that carries a message, including the verb.
 DRAIN_ACCEPT_DELAY = 0.2  # Seconds for the first request on a connection that is established during a drain.
 
-OK = b"+OK\r\n"
-PONG = b"+PONG\r\n"
-DRAINING = b"-ERR draining\r\n"
 INTERNAL_ERROR = b"-ERR internal error\r\n"
 
 
@@ -286,17 +282,8 @@
             self.server.handler.receive_request(slot, command, self.received_at)
         elif body_size:
             raise CommandError("value too large")
-        elif verb == b"PING" and len(arguments) <= PING_MESSAGE_ARGUMENT_COUNT:
-            slot.send_answer(self._answer_ping(arguments))
-        elif verb in (b"CLIENT", b"SELECT"):
-            slot.send_answer(OK)
         else:
-            raise CommandError("unknown command")
-
-    def _answer_ping(self, arguments: list[bytes]) -> bytes:
-        if not self.server.is_ready:
-            return DRAINING
-        return bulk(arguments[1]) if len(arguments) == PING_MESSAGE_ARGUMENT_COUNT else PONG
+            slot.send_answer(answer_builtin(arguments, self.server.is_ready))
 
     def _reject_command(self, slot: ResponseSlot, reason: str, body_size: int) -> None:
         self.server.record_malformed(reason)
