--- a/ingress/__main__.py
+++ b/ingress/__main__.py
@@ -23,7 +23,6 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2  # Invalid arguments, environment or configuration.
-SCHEDULER_PAUSE = 0.001  # Seconds to sleep before the listening socket is opened, see `serve`.
 
 
 async def reload_on_event(path: str, ingress: Ingress, reload: asyncio.Event) -> None:
@@ -62,11 +61,6 @@
     signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reload.set))
     if early_signals:
         reload.set()  # The file may have been changed after it was read.
-    if received_handover is None:
-        # During start-up this process may have used more than its share of the CPU core, and the scheduler then runs
-        # other processes next. This happens before the listening socket is opened, since clients that connected
-        # meanwhile would have to wait.
-        await asyncio.sleep(SCHEDULER_PAUSE)
     ingress = Ingress(config, received_handover=received_handover, path=socket_path(config.listen))
     reload_task = loop.create_task(reload_on_event(path, ingress, reload))
     await ingress.run(stop)
