--- a/ingress/emulator/clients.py
+++ b/ingress/emulator/clients.py
@@ -13,10 +13,11 @@
 
 from ingress.decisions.events import RequestReceived
 from ingress.emulator.experiment import Experiment, PlanKind, RequestKind
-from ingress.emulator.gateways import DEADLINE_MARGIN_S, PendingRequest, RequestTarget
+from ingress.emulator.gateways import DEADLINE_MARGIN_S
 from ingress.emulator.kernel import Clock, RandomStream
 from ingress.emulator.measure import Recorder
 from ingress.emulator.network import NetworkModel
+from ingress.emulator.requests import PendingRequest, RequestTarget
 from ingress.emulator.rules import RequestRecord, TokenBucket
 
 MIN_REMAINING_S = 0.05  # With less time to the deadline a client doesn't retry.
--- a/ingress/emulator/live/clients.py
+++ b/ingress/emulator/live/clients.py
@@ -10,8 +10,8 @@
 import hiredis
 
 from ingress.decisions.events import RequestReceived
-from ingress.emulator.gateways import LoadBalancer, PendingRequest
 from ingress.emulator.kernel import Clock
+from ingress.emulator.requests import LoadBalancer, PendingRequest
 
 NOTHING = object()
 TLS_NAME = "ingress"  # the name in the certificate of the ingresses
@@ -127,7 +127,7 @@
 
 
 class ClientConnections:
-    """All client connections to one ingress; implements `ingress.emulator.gateways.RequestTarget`.
+    """All client connections to one ingress; implements `ingress.emulator.requests.RequestTarget`.
 
     Attributes:
         on_request_sent: Called with each request before it is sent.
--- a/ingress/emulator/live/load.py
+++ b/ingress/emulator/live/load.py
@@ -15,12 +15,12 @@
 from ingress.decisions.settings import Settings
 from ingress.emulator.clients import ClientPopulation, mean_work
 from ingress.emulator.experiment import Experiment, ExperimentError, build_experiment
-from ingress.emulator.gateways import PendingRequest
 from ingress.emulator.kernel import random_streams
 from ingress.emulator.live.clients import ClientConnections, ResponseObserver
 from ingress.emulator.live.kernel import RealKernel
 from ingress.emulator.measure import Recorder
 from ingress.emulator.network import NetworkModel
+from ingress.emulator.requests import PendingRequest
 from ingress.emulator.rules import RuleChecker
 from ingress.emulator.testbed import build_result
 from ingress.errors import IngressError
--- a/ingress/emulator/live/play.py
+++ b/ingress/emulator/live/play.py
@@ -20,7 +20,6 @@
 from ingress.emulator import faults
 from ingress.emulator.clients import ClientPopulation
 from ingress.emulator.experiment import Experiment, PlanKind
-from ingress.emulator.gateways import PendingRequest
 from ingress.emulator.live.agent import FakeDiscoveryAgent
 from ingress.emulator.live.clients import TLS_NAME, ClientConnections, ResponseObserver
 from ingress.emulator.live.counter import FakeCounter
@@ -28,6 +27,7 @@
 from ingress.emulator.live.kernel import RealKernel
 from ingress.emulator.live.loopback import loopback_address
 from ingress.emulator.live.servers import FakeServer, response_value
+from ingress.emulator.requests import PendingRequest
 from ingress.emulator.servers import ServerModel
 from ingress.emulator.testbed import LOAD_BALANCER_REACTION_S, SAMPLE_INTERVAL_S, Testbed, gateway_settings
 
--- a/ingress/emulator/live/servers.py
+++ b/ingress/emulator/live/servers.py
@@ -10,10 +10,10 @@
 import hiredis
 
 from ingress.decisions.endpoint import Outcome
-from ingress.emulator.gateways import PendingRequest
 from ingress.emulator.kernel import Clock
 from ingress.emulator.live.vanish import drop_packets, receive_packets
 from ingress.emulator.network import NetworkModel
+from ingress.emulator.requests import PendingRequest
 from ingress.emulator.servers import ServerModel
 
 NOTHING = object()
--- a/tests/test_emulator_live.py
+++ b/tests/test_emulator_live.py
@@ -24,7 +24,6 @@
 from ingress.emulator.clients import ClientPopulation
 from ingress.emulator.experiment import Experiment, ExperimentError, build_experiment
 from ingress.emulator.follow import request_trace
-from ingress.emulator.gateways import PendingRequest
 from ingress.emulator.kernel import random_streams
 from ingress.emulator.live.agent import FakeDiscoveryAgent
 from ingress.emulator.live.clients import ClientConnections, ResponseObserver
@@ -35,6 +34,7 @@
 from ingress.emulator.live.servers import FakeServer, response_value
 from ingress.emulator.measure import Recorder
 from ingress.emulator.network import NetworkModel
+from ingress.emulator.requests import PendingRequest
 from ingress.emulator.rules import RequestRecord
 from ingress.emulator.servers import Defect, ServerModel
 from tests.peers import Peer, Reader, Writer, command, endpoint_answer, read_command, resp, run_async, wait_until
--- a/tests/test_quota_replay.py
+++ b/tests/test_quota_replay.py
@@ -17,7 +17,8 @@
 from ingress.decisions.settings import Settings
 from ingress.emulator.clients import ClientPopulation
 from ingress.emulator.experiment import build_experiment
-from ingress.emulator.gateways import GatewayHost, PendingRequest
+from ingress.emulator.gateways import GatewayHost
+from ingress.emulator.requests import PendingRequest
 from ingress.emulator.world import Simulation
 from ingress.ingressctl.main import main
 from ingress.observability.quota_replay import (
