--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -24,6 +24,7 @@
     Writer,
     endpoint_answer,
     fake_endpoint,
+    free_port,
     read_command,
     run_async,
     wait_until,
@@ -170,8 +171,7 @@
 
 def test_refused_connection_is_a_failed_connect() -> None:
     async def body() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            address = server.getsockname()
+        address = ("127.0.0.1", free_port())
         pool = PoolUnderTest(address)
         pool.send()
         assert await pool.result() == (Outcome.CONNECT_FAILED, None)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -12,7 +12,7 @@
 from ingress.runtime.clock import unix_clock
 from ingress.upstream import counter_client as module
 from ingress.upstream.counter_client import CounterClient
-from tests.peers import Address, Peer, Reader, Writer, run_async, wait_until
+from tests.peers import Address, Peer, Reader, Writer, free_port, run_async, wait_until
 
 
 class CounterUnderTest:
@@ -211,8 +211,7 @@
 
 def test_refused_connection_is_a_failed_connect() -> None:
     async def body() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            address = server.getsockname()
+        address = ("127.0.0.1", free_port())
         counter = CounterUnderTest(address)
         counter.add()
         assert await counter.reply() == (7, Outcome.CONNECT_FAILED, 0.0)
