--- a/ingress/emulator/experiment.py
+++ b/ingress/emulator/experiment.py
@@ -12,18 +12,12 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import BaseModel, Field, ValidationError, model_validator
 
+from ingress.emulator.experiment_table import Count, NonNegative, NonNegativeCount, Positive, Range, Ratio, Table
+from ingress.emulator.timed_faults import CutZone, Fault, LoseZone
 from ingress.errors import IngressError
 
-Ratio = Annotated[float, Field(ge=0, le=1)]
-Positive = Annotated[float, Field(gt=0)]
-NonNegative = Annotated[float, Field(ge=0)]
-Count = Annotated[int, Field(ge=1, le=100_000)]
-NonNegativeCount = Annotated[int, Field(ge=0, le=100_000)]
-Range = tuple[NonNegative, NonNegative]
-
-
 MAX_LIVE_GATEWAYS = 1024  # Ingress processes on one machine, whose memory may allow fewer.
 # Keys whose value is a range, with a low and a high end.
 RANGE_KEYS = ("fleet.speed", "listing.add_s", "listing.gone_s", "listing.silent_s", "load.calm_use", "load.notice_s")
@@ -41,12 +35,6 @@
         self.faults = faults
 
 
-class Table(BaseModel):
-    """A table of the experiment file, which rejects unknown keys and is immutable."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
 class Fleet(Table):
     """The gateways and endpoints, their capacities, and the limits of the protocol between them.
 
@@ -245,162 +233,6 @@
     fall_s: Positive = 2.0
 
 
-class TimedFault(Table):
-    """The common part of all faults.
-
-    Attributes:
-        at: When the fault begins (s).
-        lasts: How long it lasts (s).
-    """
-
-    at: NonNegative
-    lasts: NonNegative = 0.0
-
-
-class KillGateways(TimedFault):
-    """Kill gateways with SIGKILL; new processes start after `lasts`."""
-
-    kind: Literal["kill-gateways"]
-    share: Ratio = 0.5
-
-
-class PauseGateways(TimedFault):
-    """Stop gateways with SIGSTOP, and continue them with SIGCONT after `lasts`."""
-
-    kind: Literal["pause-gateways"]
-    share: Ratio = 0.1
-
-
-class RollGateways(TimedFault):
-    """Restart all gateways with SIGTERM, in steps."""
-
-    kind: Literal["roll-gateways"]
-    steps: Count = 10
-
-
-class RollServers(TimedFault):
-    """Drain and remove servers in steps; cold ones replace them.
-
-    Attributes:
-        share: The share of the servers.
-        steps: The number of steps.
-        warning_s: The time between the start of draining and the end of a server.
-    """
-
-    kind: Literal["roll-servers"]
-    share: Ratio = 0.5
-    steps: Count = 5
-    warning_s: NonNegative = 3.0
-
-
-class LoseZone(TimedFault):
-    """Let all servers of a zone vanish without notice, and start them again cold.
-
-    Attributes:
-        zone: The zone.
-        share: The share of the servers that vanish in a fleet with one zone.
-    """
-
-    kind: Literal["lose-zone"]
-    zone: NonNegativeCount = 0
-    share: Ratio = 0.3
-
-
-class CutZone(TimedFault):
-    """Cut the network between a zone and the others."""
-
-    kind: Literal["cut-zone"]
-    zone: NonNegativeCount = 0
-
-
-class CrashServers(TimedFault):
-    """End the processes of servers; their machines refuse connections until they start again, cold."""
-
-    kind: Literal["crash-servers"]
-    share: Ratio = 0.2
-
-
-class SpoilServers(TimedFault):
-    """Make servers misbehave while they run.
-
-    Attributes:
-        share: The share of the servers.
-        mode: How they misbehave.
-        rate: The share of their requests that is affected in the modes `errors`, `silent` and `spoilt`.
-        factor: The factor by which `slow` servers are slower.
-    """
-
-    kind: Literal["spoil-servers"]
-    share: Ratio = 0.125
-    mode: Literal["slow", "errors", "silent", "spoilt", "refuse"] = "errors"
-    rate: Ratio = 1.0
-    factor: Positive = 8.0
-
-
-class Reload(TimedFault):
-    """Reload the settings with SIGHUP, with the rate and burst of every plan multiplied by `factor`."""
-
-    kind: Literal["reload"]
-    factor: Positive = 0.8
-
-
-class ForgetServers(TimedFault):
-    """Remove running servers from the endpoint list in one version, and add them back in another."""
-
-    kind: Literal["forget-servers"]
-    share: Ratio = 0.6
-
-
-class DiscoveryDown(TimedFault):
-    """Make discovery unavailable."""
-
-    kind: Literal["discovery-down"]
-
-
-class Burst(TimedFault):
-    """Multiply the rate of requests.
-
-    Attributes:
-        factor: The factor.
-        customers: How many of the first customers take part; 0 stands for all.
-    """
-
-    kind: Literal["burst"]
-    factor: Positive = 1.5
-    customers: NonNegativeCount = 0
-
-
-class Lossy(TimedFault):
-    """Lose responses and reset connections.
-
-    Attributes:
-        loss: The share of responses that are lost.
-        reset: The share of attempts whose connection is reset.
-    """
-
-    kind: Literal["lossy"]
-    loss: Ratio = 0.02
-    reset: Ratio = 0.02
-
-
-Fault = Annotated[
-    KillGateways
-    | PauseGateways
-    | RollGateways
-    | RollServers
-    | LoseZone
-    | CutZone
-    | CrashServers
-    | SpoilServers
-    | Reload
-    | ForgetServers
-    | DiscoveryDown
-    | Burst
-    | Lossy,
-    Field(discriminator="kind"),
-]
-
-
 class Version(Table):
     """A build of the package that is run.
 
@@ -448,7 +280,7 @@
     rules: RuleLimits = RuleLimits()
     classes: list[RequestKind] = Field([RequestKind(name="read")], min_length=1)
     plans: list[PlanKind] = Field([PlanKind(name="basic")], min_length=1)
-    faults: list[Fault] = []
+    faults: list[Fault] = Field([])
     versions: list[Version] = Field([Version(name="now")], min_length=1)
 
     @model_validator(mode="after")
--- a/ingress/emulator/faults.py
+++ b/ingress/emulator/faults.py
@@ -5,7 +5,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
-from ingress.emulator import experiment as spec
+from ingress.emulator import timed_faults
 from ingress.emulator.servers import Defect, ServerModel
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 
 @singledispatch
-def schedule(fault: spec.TimedFault, _testbed: Testbed) -> None:
+def schedule(fault: timed_faults.TimedFault, _testbed: Testbed) -> None:
     """Schedule a fault on the clock of the testbed.
 
     All its random draws are made now, so that they don't depend on the decisions of the gateways.
@@ -37,22 +37,22 @@
     return [initial_servers[number] for number in testbed.random["faults"].sample(count, chosen_count)]
 
 
-@schedule.register(spec.KillGateways)
-def _(fault: spec.KillGateways, testbed: Testbed) -> None:
+@schedule.register(timed_faults.KillGateways)
+def _(fault: timed_faults.KillGateways, testbed: Testbed) -> None:
     for number in _gateways(testbed, fault.share):
         testbed.kernel.at(fault.at, testbed.kill_gateway, number)
         testbed.kernel.at(fault.at + fault.lasts, testbed.start_gateway, number)
 
 
-@schedule.register(spec.PauseGateways)
-def _(fault: spec.PauseGateways, testbed: Testbed) -> None:
+@schedule.register(timed_faults.PauseGateways)
+def _(fault: timed_faults.PauseGateways, testbed: Testbed) -> None:
     for number in _gateways(testbed, fault.share):
         testbed.kernel.at(fault.at, testbed.pause_gateway, number, True)
         testbed.kernel.at(fault.at + fault.lasts, testbed.pause_gateway, number, False)
 
 
-@schedule.register(spec.RollGateways)
-def _(fault: spec.RollGateways, testbed: Testbed) -> None:
+@schedule.register(timed_faults.RollGateways)
+def _(fault: timed_faults.RollGateways, testbed: Testbed) -> None:
     count = testbed.experiment.fleet.gateways
     for number in range(count):
         step = number * fault.steps // count
@@ -62,16 +62,16 @@
         testbed.kernel.at(at + DRAIN_TIMEOUT_S + RESTART_DELAY_S, testbed.start_gateway, number)
 
 
-@schedule.register(spec.RollServers)
-def _(fault: spec.RollServers, testbed: Testbed) -> None:
+@schedule.register(timed_faults.RollServers)
+def _(fault: timed_faults.RollServers, testbed: Testbed) -> None:
     chosen = _servers(testbed, fault.share)
     for index, server in enumerate(chosen):
         at = fault.at + fault.lasts * (index * fault.steps // len(chosen)) / fault.steps
         testbed.kernel.at(at, testbed.replace_server, server, fault.warning_s)
 
 
-@schedule.register(spec.LoseZone)
-def _(fault: spec.LoseZone, testbed: Testbed) -> None:
+@schedule.register(timed_faults.LoseZone)
+def _(fault: timed_faults.LoseZone, testbed: Testbed) -> None:
     zones = testbed.experiment.fleet.zones
     lost = (
         _servers(testbed, fault.share)
@@ -83,21 +83,21 @@
         testbed.kernel.at(fault.at + fault.lasts, testbed.start_server, server)
 
 
-@schedule.register(spec.CutZone)
-def _(fault: spec.CutZone, testbed: Testbed) -> None:
+@schedule.register(timed_faults.CutZone)
+def _(fault: timed_faults.CutZone, testbed: Testbed) -> None:
     testbed.kernel.at(fault.at, testbed.network.isolated_zones.add, fault.zone)
     testbed.kernel.at(fault.at + fault.lasts, testbed.network.isolated_zones.discard, fault.zone)
 
 
-@schedule.register(spec.CrashServers)
-def _(fault: spec.CrashServers, testbed: Testbed) -> None:
+@schedule.register(timed_faults.CrashServers)
+def _(fault: timed_faults.CrashServers, testbed: Testbed) -> None:
     for server in _servers(testbed, fault.share):
         testbed.kernel.at(fault.at, testbed.crash_server, server)
         testbed.kernel.at(fault.at + fault.lasts, testbed.start_server, server)
 
 
-@schedule.register(spec.SpoilServers)
-def _(fault: spec.SpoilServers, testbed: Testbed) -> None:
+@schedule.register(timed_faults.SpoilServers)
+def _(fault: timed_faults.SpoilServers, testbed: Testbed) -> None:
     for server in _servers(testbed, fault.share):
         testbed.kernel.at(fault.at, _set_defect, server, Defect(fault.mode, fault.rate, fault.factor))
         testbed.kernel.at(fault.at + fault.lasts, _set_defect, server, None)
@@ -107,20 +107,20 @@
     server.defect = defect
 
 
-@schedule.register(spec.Reload)
-def _(fault: spec.Reload, testbed: Testbed) -> None:
+@schedule.register(timed_faults.Reload)
+def _(fault: timed_faults.Reload, testbed: Testbed) -> None:
     testbed.kernel.at(fault.at, testbed.scale_plans, fault.factor)
 
 
-@schedule.register(spec.ForgetServers)
-def _(fault: spec.ForgetServers, testbed: Testbed) -> None:
+@schedule.register(timed_faults.ForgetServers)
+def _(fault: timed_faults.ForgetServers, testbed: Testbed) -> None:
     for server in _servers(testbed, fault.share):
         testbed.kernel.at(fault.at, testbed.forget_server, server, True)
         testbed.kernel.at(fault.at + fault.lasts, testbed.forget_server, server, False)
 
 
-@schedule.register(spec.DiscoveryDown)
-def _(fault: spec.DiscoveryDown, testbed: Testbed) -> None:
+@schedule.register(timed_faults.DiscoveryDown)
+def _(fault: timed_faults.DiscoveryDown, testbed: Testbed) -> None:
     testbed.kernel.at(fault.at, _set_discovery_down, testbed, fault.at + fault.lasts)
 
 
@@ -128,13 +128,13 @@
     testbed.discovery.down_until = max(testbed.discovery.down_until, until)
 
 
-@schedule.register(spec.Burst)
-def _(fault: spec.Burst, testbed: Testbed) -> None:
+@schedule.register(timed_faults.Burst)
+def _(fault: timed_faults.Burst, testbed: Testbed) -> None:
     testbed.add_load_burst(fault.at, fault.at + fault.lasts, fault.factor, fault.customers)
 
 
-@schedule.register(spec.Lossy)
-def _(fault: spec.Lossy, testbed: Testbed) -> None:
+@schedule.register(timed_faults.Lossy)
+def _(fault: timed_faults.Lossy, testbed: Testbed) -> None:
     network = testbed.network
     testbed.kernel.at(fault.at, _set_loss, testbed, fault.loss, fault.reset)
     testbed.kernel.at(fault.at + fault.lasts, _set_loss, testbed, network.spec.loss, network.spec.reset)
