--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,15 +23,15 @@
     run_case,
 )
 
-MEMORY_MB = 36
-SOCKETS = 256
+MEMORY_MB = 64
+SOCKETS = 512
 SERVERS = 8
 HUNG_SERVERS = 4
 VALUE = b"v" * 65_536  # a value holds no more than 64 KiB
 WORK_S = 0.05
-CONNECTIONS = 10
-REQUESTS_PER_S = 160
-ENSEMBLES = 3000
+CONNECTIONS = 20
+REQUESTS_PER_S = 400
+ENSEMBLES = 4000
 HANG_AFTER_S = 4.0
 SECONDS = 9.0
 
@@ -52,7 +52,7 @@
 
 
 class Traffic:
-    """Sound clients: ten connections, on which requests are written one behind another and all answers are read."""
+    """Sound clients: twenty connections, on which requests are written one behind another and all answers are read."""
 
     def __init__(self, record: Record, clients: list[Client]) -> None:
         self.record = record
@@ -79,7 +79,7 @@
 
 
 async def case(record: Record, platform: Platform) -> list[str]:
-    """Send 160 requests a second; half of the schedule servers hang after 4 s."""
+    """Send 400 requests a second; half of the schedule servers hang after 4 s."""
     servers = Servers()
     discovery = Discovery(record)
     await discovery.open()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,11 +22,11 @@
     run_case,
 )
 
-MEMORY_MB = 48
-SOCKETS = 256
-PEERS = 100
+MEMORY_MB = 80
+SOCKETS = 640
+PEERS = 240
 PEER_ADDRESSES = 10
-PEER_BYTES = 250_000  # all peers together: 25 MB
+PEER_BYTES = 250_000  # all peers together: 60 MB
 SECONDS = 6.0
 REQUEST_INTERVAL_S = 0.05
 WORK_S = 0.05
