Show that a planned restart cuts off an answer; drop case 7 (case 8)

Cause: a drained connection is closed 1.0 s after its sending side, whatever the client has still to receive, and the process ends before the earliest SIGKILL. The former case 7, answers that wait behind a hung request, has the cause of review/2 and is dropped; the former case 8 is case 7.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,9 @@
-"""Case 7: answers that wait behind a request at a hung schedule server take the ingress over its memory limit."""
+"""Case 7: peers that send half a command take the ingress over its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections import Counter
-from functools import partial
 from pathlib import Path
 
 from stand_ins import (
@@ -19,94 +17,92 @@
     ScheduleServer,
     answer_of,
     base_settings,
+    encode_command,
     read_request,
     run_case,
 )
 
-MEMORY_MB = 64
-SOCKETS = 512
-SERVERS = 8
-HUNG_SERVERS = 4
-VALUE = b"v" * 65_536  # a value holds no more than 64 KiB
+MEMORY_MB = 80
+SOCKETS = 640
+PEERS = 240
+PEER_ADDRESSES = 10
+PEER_BYTES = 250_000  # all peers together: 60 MB
+SECONDS = 6.0
+REQUEST_INTERVAL_S = 0.05
 WORK_S = 0.05
-CONNECTIONS = 20
-REQUESTS_PER_S = 400
-ENSEMBLES = 4000
-HANG_AFTER_S = 4.0
-SECONDS = 9.0
 
 
-class Servers:
-    """What the schedule servers do: half of them stop answering at one moment."""
+async def reply(_words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    """Answer as a schedule server."""
+    await asyncio.sleep(WORK_S)
+    writer.write(answer_of(b"schedule"))
 
-    def __init__(self) -> None:
-        self.are_hung = False
-        self.answer = answer_of(VALUE)
 
-    async def reply(self, number: int, _words: list[bytes], writer: asyncio.StreamWriter) -> None:
-        """Answer one request, or hang."""
-        await asyncio.sleep(WORK_S)
-        if self.are_hung and number < HUNG_SERVERS:
-            await asyncio.sleep(2 * SECONDS)
-        writer.write(self.answer)
+async def peer(port: int, number: int) -> bytes:
+    """Send the beginning of a command, stay, and return what came back."""
+    client = await Client.connect(port, f"127.0.0.{2 + number % PEER_ADDRESSES}")
+    client.send(encode_command(*[b"x" * 62_000] * 5)[:PEER_BYTES])
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        async with asyncio.timeout(4.0):
+            return await client.reader.read(100)
+    return b""
 
 
 class Traffic:
-    """Sound clients: twenty connections, on which requests are written one behind another and all answers are read."""
+    """A sound client: sends a request every 50 ms, each on a connection that is not busy."""
 
-    def __init__(self, record: Record, clients: list[Client]) -> None:
+    def __init__(self, port: int, record: Record) -> None:
+        self.port = port
         self.record = record
-        self.clients = clients
-        self.sent = 0
-        self.answers: Counter[str] = Counter()
-        self.readers = [asyncio.create_task(self._read(client)) for client in clients]
-
-    async def _read(self, client: Client) -> None:
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
+        self.idle: list[Client] = []
+        self.unanswered = 0
+        self.answered = 0
+
+    async def run(self) -> None:
+        """Send requests until the time is up."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(int(SECONDS / REQUEST_INTERVAL_S)):
+                group.create_task(self._request(number))
+                await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _request(self, number: int) -> None:
+        try:
+            async with asyncio.timeout(3.0):
+                client = self.idle.pop() if self.idle else await Client.connect(self.port)
+                client.send(read_request(1000 + number, f"r-{number}"))
                 answer = await client.answer()
-                self.answers["served" if answer.startswith(b"$") else answer.decode()] += 1
-
-    def send(self) -> None:
-        """Send a request of the next ensemble on the next connection."""
-        customer = 1000 + self.sent % ENSEMBLES
-        self.clients[self.sent % CONNECTIONS].send(read_request(customer, f"r-{self.sent}"))
-        self.sent += 1
-
-    def note(self) -> None:
-        """Record what was sent and answered so far."""
-        self.record.note(f"clients: {self.sent} requests sent, answers {dict(self.answers)}")
+        except (OSError, asyncio.IncompleteReadError) as error:
+            self.unanswered += 1
+            self.record.note(f"client: r-{number} has no answer: {type(error).__name__}")
+            return
+        self.answered += 1
+        self.idle.append(client)
+        self.record.note(f"client: r-{number} is answered with {answer[:20]!r}")
 
 
 async def case(record: Record, platform: Platform) -> list[str]:
-    """Send 400 requests a second; half of the schedule servers hang after 4 s."""
-    servers = Servers()
+    """Send sound traffic, and let the peers come after a second."""
     discovery = Discovery(record)
     await discovery.open()
-    for number in range(SERVERS):
-        server = ScheduleServer(f"s-{number}", record, partial(servers.reply, number))
+    for number in range(4):
+        server = ScheduleServer(f"s-{number}", record, reply)
         await server.open()
         await discovery.put(server.entry())
-    settings = base_settings()
-    settings["limits"]["second-copies"] = False
     limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
-    ingress = Ingress(platform, platform.make_config(discovery, settings, limits), "ingress")
+    ingress = Ingress(platform, platform.make_config(discovery, base_settings(), limits), "ingress")
     await ingress.wait_until_ready()
     memory = MemoryLimit(ingress, record, MEMORY_MB)
     watch = asyncio.create_task(memory.watch())
-    traffic = Traffic(record, [await Client.connect(ingress.port) for _ in range(CONNECTIONS)])
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    while (elapsed := loop.time() - started) < SECONDS:
-        if TROUBLE and elapsed > HANG_AFTER_S and not servers.are_hung:
-            servers.are_hung = True
-            record.note(f"{HUNG_SERVERS} of {SERVERS} schedule servers hang")
-            traffic.note()
-        traffic.send()
-        await asyncio.sleep(max(0.0, started + traffic.sent / REQUESTS_PER_S - loop.time()))
-    traffic.note()
+    traffic = Traffic(ingress.port, record)
+    sending = asyncio.create_task(traffic.run())
+    await asyncio.sleep(1.0)
+    if TROUBLE:
+        record.note(f"{PEERS} peers connect; each sends {PEER_BYTES} bytes of a command and stays")
+        answers = await asyncio.gather(*(peer(ingress.port, number) for number in range(PEERS)), return_exceptions=True)
+        record.note(f"peers: {sum(isinstance(answer, bytes) and bool(answer) for answer in answers)} got a line")
+    await sending
     watch.cancel()
-    record.note(f"peak {memory.peak_mb:.1f} MB")
+    record.note(f"peak {memory.peak_mb:.1f} MB, requests answered {traffic.answered}, not {traffic.unanswered}")
     return memory.breaks()
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,11 @@
-"""Case 8: peers that send half a command take the ingress over its memory limit."""
+"""Case 8: a planned restart cuts off a long answer that its client is still reading."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import signal
+import socket
 from pathlib import Path
 
 from stand_ins import (
@@ -11,99 +13,122 @@
     Client,
     Discovery,
     Ingress,
-    MemoryLimit,
     Platform,
     Record,
     ScheduleServer,
     answer_of,
     base_settings,
-    encode_command,
     read_request,
     run_case,
 )
 
-MEMORY_MB = 80
-SOCKETS = 640
-PEERS = 240
-PEER_ADDRESSES = 10
-PEER_BYTES = 250_000  # all peers together: 60 MB
-SECONDS = 6.0
-REQUEST_INTERVAL_S = 0.05
-WORK_S = 0.05
+LONG_BYTES = 2_000_000
+ANSWER_BYTES = len(b"$2000000\r\n") + LONG_BYTES + len(b"\r\n")
+READ_BYTES = 65_536
+READ_INTERVAL_S = 0.09  # so the client takes some 2.8 s for the whole answer
+RECEIVE_BUFFER_BYTES = 65_536
+SIGTERM_AFTER_S = 0.2
+SECOND_AFTER_S = 2.2  # the client sends its next request so long after the first, 2.0 s after SIGTERM
+SIGKILL_AFTER_S = 2.5 + 0.7  # after SIGTERM, the earliest that the page names
+WORK_S = 0.03
 
 
-async def reply(_words: list[bytes], writer: asyncio.StreamWriter) -> None:
-    """Answer as a schedule server."""
-    await asyncio.sleep(WORK_S)
-    writer.write(answer_of(b"schedule"))
+class Servers:
+    """The schedule servers, which write the long answer without a pause."""
 
+    def __init__(self, record: Record) -> None:
+        self.record = record
 
-async def peer(port: int, number: int) -> bytes:
-    """Send the beginning of a command, stay, and return what came back."""
-    client = await Client.connect(port, f"127.0.0.{2 + number % PEER_ADDRESSES}")
-    client.send(encode_command(*[b"x" * 62_000] * 5)[:PEER_BYTES])
-    with contextlib.suppress(ConnectionError, TimeoutError):
-        async with asyncio.timeout(4.0):
-            return await client.reader.read(100)
-    return b""
+    async def reply(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        """Answer one request."""
+        name = words[2].decode()
+        await asyncio.sleep(WORK_S)
+        writer.write(answer_of(b"L" * LONG_BYTES if name == "long" else b"done"))
+        await writer.drain()
+        self.record.note(f"server: has given the whole answer to {name}")
 
 
-class Traffic:
-    """A sound client: sends a request every 50 ms, each on a connection that is not busy."""
+class SlowClient:
+    """A client that reads slowly, all the time, and sends a second request meanwhile."""
 
-    def __init__(self, port: int, record: Record) -> None:
-        self.port = port
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.idle: list[Client] = []
-        self.unanswered = 0
-        self.answered = 0
-
-    async def run(self) -> None:
-        """Send requests until the time is up."""
-        async with asyncio.TaskGroup() as group:
-            for number in range(int(SECONDS / REQUEST_INTERVAL_S)):
-                group.create_task(self._request(number))
-                await asyncio.sleep(REQUEST_INTERVAL_S)
-
-    async def _request(self, number: int) -> None:
-        try:
-            async with asyncio.timeout(3.0):
-                client = self.idle.pop() if self.idle else await Client.connect(self.port)
-                client.send(read_request(1000 + number, f"r-{number}"))
-                answer = await client.answer()
-        except (OSError, asyncio.IncompleteReadError) as error:
-            self.unanswered += 1
-            self.record.note(f"client: r-{number} has no answer: {type(error).__name__}")
-            return
-        self.answered += 1
-        self.idle.append(client)
-        self.record.note(f"client: r-{number} is answered with {answer[:20]!r}")
+        self.received = 0
+        self.end = ""
+        self.loop = asyncio.get_running_loop()
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.sock.setblocking(False)
+
+    async def send(self, port: int) -> None:
+        """Connect and send the first request."""
+        await self.loop.sock_connect(self.sock, ("127.0.0.1", port))
+        await self.loop.sock_sendall(self.sock, read_request(5, "long"))
+        self.record.note("client: sent long")
+
+    async def send_second(self) -> None:
+        """Send the second request on the connection, which is open as far as the client can see."""
+        await asyncio.sleep(SECOND_AFTER_S)
+        with contextlib.suppress(OSError):
+            await self.loop.sock_sendall(self.sock, read_request(6, "second"))
+        self.record.note(f"client: sent second, has read {self.received} bytes so far")
+
+    async def read(self) -> None:
+        """Read until the long answer is whole or the connection ends."""
+        while self.received < ANSWER_BYTES:
+            try:
+                data = await self.loop.sock_recv(self.sock, READ_BYTES)
+            except OSError as error:
+                self.end = type(error).__name__
+                break
+            if not data:
+                self.end = "the connection was closed"
+                break
+            self.received += len(data)
+            await asyncio.sleep(READ_INTERVAL_S * len(data) / READ_BYTES)
+        self.record.note(f"client: has read {self.received} of {ANSWER_BYTES} bytes; {self.end or 'whole'}")
+        self.sock.close()
+
+
+async def restart(ingress: Ingress, record: Record) -> None:
+    """Do what the platform does at a planned restart."""
+    await asyncio.sleep(SIGTERM_AFTER_S)
+    record.note("platform: SIGTERM")
+    ingress.process.send_signal(signal.SIGTERM)
+    deadline = record.now() + SIGKILL_AFTER_S
+    while ingress.process.poll() is None and record.now() < deadline:
+        await asyncio.sleep(0.01)
+    record.note(f"platform: the ingress {'is killed' if ingress.process.poll() is None else 'has ended'}")
+    ingress.process.kill()
 
 
 async def case(record: Record, platform: Platform) -> list[str]:
-    """Send sound traffic, and let the peers come after a second."""
+    """Read a long answer slowly through a planned restart."""
+    servers = Servers(record)
     discovery = Discovery(record)
     await discovery.open()
     for number in range(4):
-        server = ScheduleServer(f"s-{number}", record, reply)
+        server = ScheduleServer(f"s-{number}", record, servers.reply)
         await server.open()
         await discovery.put(server.entry())
-    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    limits = {"cores": 1.0, "memory_mb": 96, "sockets": 512}
     ingress = Ingress(platform, platform.make_config(discovery, base_settings(), limits), "ingress")
     await ingress.wait_until_ready()
-    memory = MemoryLimit(ingress, record, MEMORY_MB)
-    watch = asyncio.create_task(memory.watch())
-    traffic = Traffic(ingress.port, record)
-    sending = asyncio.create_task(traffic.run())
-    await asyncio.sleep(1.0)
+    warm = await Client.connect(ingress.port)
+    for number in range(30):
+        warm.send(read_request(500 + number, f"warm-{number}"))
+        await warm.answer()
+    warm.close()
+    client = SlowClient(record)
+    await client.send(ingress.port)
+    tasks = [asyncio.create_task(client.send_second())]
     if TROUBLE:
-        record.note(f"{PEERS} peers connect; each sends {PEER_BYTES} bytes of a command and stays")
-        answers = await asyncio.gather(*(peer(ingress.port, number) for number in range(PEERS)), return_exceptions=True)
-        record.note(f"peers: {sum(isinstance(answer, bytes) and bool(answer) for answer in answers)} got a line")
-    await sending
-    watch.cancel()
-    record.note(f"peak {memory.peak_mb:.1f} MB, requests answered {traffic.answered}, not {traffic.unanswered}")
-    return memory.breaks()
+        tasks.append(asyncio.create_task(restart(ingress, record)))
+    await client.read()
+    await asyncio.gather(*tasks)
+    if client.received < ANSWER_BYTES:
+        return [f"the long answer was cut off after {client.received} of {ANSWER_BYTES} bytes: {client.end}"]
+    return []
 
 
 if __name__ == "__main__":
