--- a/ingress/decisions/attempts.py
+++ b/ingress/decisions/attempts.py
@@ -26,14 +26,15 @@
         customer: The quota of the customer that sent it.
         plan: The plan of the customer when the request was received, even if that changes later.
         units: The units that it takes from the quota.
-        deadline: The time in seconds when the client gives up; infinite once the response is streaming.
+        deadline: The time in seconds when the client gives up, unless the response has started.
         is_chunked: Whether its body is sent in chunks.
         upload_started: Whether chunks of its body have been sent to an endpoint.
         within_quota: Whether its units are taken from the slice.
         misses_objective: Whether the answer would come after the latency objective.
         attempted: Whether its first attempt was sent.
         finished: Whether it has its final answer, or its client has disconnected.
-        streaming_attempt: The number of the attempt whose response has started.
+        streaming_attempt: The number of the attempt whose response has started first; only it can answer the request.
+        responded: The numbers of the attempts whose response has started.
         attempts: All attempts, in order.
         in_flight: The endpoints of the attempts in flight, by attempt number.
         may_have_run: The attempts that are in flight or have ended without proof that they were not run.
@@ -52,6 +53,7 @@
     attempted: bool = False
     finished: bool = False
     streaming_attempt: int | None = None
+    responded: set[int] = set()
     attempts: list[Attempt] = []
     in_flight: dict[int, TrackedEndpoint] = {}
     may_have_run: list[Attempt] = []
--- a/ingress/decisions/forwarding.py
+++ b/ingress/decisions/forwarding.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
-
 from ingress.decisions.actions import Action, CancelAttempt, FailRequest, RejectRequest, ShareUsage, StartAttempt
 from ingress.decisions.admission import RejectionReason
 from ingress.decisions.attempt_outcomes import OutcomeRecorder
@@ -117,21 +115,31 @@
             self.actions.append(FailRequest(request.id, reason.value))
 
     def client_disconnected(self, request_id: str) -> None:
-        """Drop a request whose client is no longer waiting; its attempts continue until they end."""
+        """Drop a request whose client is no longer waiting; attempts without a response continue until they end."""
         if (request := self.requests.pop(request_id, None)) is not None:
             request.finished = True
+            if request.streaming_attempt is not None:
+                self._cancel(request, [request.streaming_attempt])
 
     def response_started(self, now: float, event: ResponseStarted) -> None:
-        """Record that a response has started: the endpoint has done its work, and no other attempt can replace it."""
-        request = self.requests.get(event.request_id)
-        if request is None:
+        """Record that a response has started: the endpoint has done its work.
+
+        The first response answers the request, and no other attempt can replace it. A later one, or one that its
+        client does not wait for, is not needed.
+        """
+        attempt_id = AttemptId(event.request_id, event.attempt)
+        request = self.attempts.get(attempt_id)
+        if request is None or event.attempt in request.responded:
+            return
+        request.responded.add(event.attempt)
+        endpoint = request.in_flight[event.attempt]
+        endpoint.attempt_ended(attempt_id, now)
+        if request.finished or request.streaming_attempt is not None:
+            self._outcomes.record_response(now, request, endpoint, event.latency)
+            self._cancel(request, [event.attempt])
             return
-        request.deadline = inf
         request.streaming_attempt = event.attempt
-        endpoint = request.in_flight.get(event.attempt)
-        if endpoint is not None:
-            endpoint.attempt_ended(AttemptId(event.request_id, event.attempt), now)
-            self._record_response(now, request, endpoint, event)
+        self._record_response(now, request, endpoint, event)
 
     def attempt_ended(self, now: float, event: AttemptEnded) -> None:
         """Record how an attempt ended; after a failure, retry it or give the final answer."""
@@ -147,7 +155,7 @@
             request.record_never_ran(endpoint, sent_at)
         self._cluster.outliers.check_load_report(event.load_report)
         if event.outcome is Outcome.OK:
-            if event.attempt != request.streaming_attempt:
+            if event.attempt not in request.responded:
                 self._record_response(now, request, endpoint, event)
             if event.settled_units and request.within_quota:
                 request.customer.settle(event.settled_units - request.units)
@@ -156,7 +164,7 @@
         if event.request_finished or request.finished:
             request.finished = True
             self.requests.pop(request.id, None)
-        elif not request.in_flight and not self._send_again(now, request, max_saturation=0.0):
+        elif not request.in_flight and not self._retry(now, request):
             self.finish_without_response(request, RejectionReason.ATTEMPTS_FAILED)
 
     def _release_concurrency(self, now: float, request: InFlightRequest) -> None:
@@ -170,13 +178,23 @@
     def _record_response(
         self, now: float, request: InFlightRequest, endpoint: TrackedEndpoint, event: AttemptEnded | ResponseStarted
     ) -> None:
-        """Record a response, and cancel the other attempts of its request."""
+        """Record a response, and cancel the other attempts of its request unless one of them answers it already."""
         self._outcomes.record_response(now, request, endpoint, event.latency)
+        if request.streaming_attempt not in (None, event.attempt):
+            return
         others = [number for number in request.in_flight if number != event.attempt]
         if others and not request.finished:
             self.hedging.record_winner(event.attempt > min(others))
+        self._cancel(request, others)
+
+    def _cancel(self, request: InFlightRequest, numbers: list[int]) -> None:
+        """Cancel attempts that are not needed any more, if the settings allow it; otherwise they end by themselves."""
         if self._settings.cancellation_allowed:
-            self.actions += [CancelAttempt(request.id, number) for number in others]
+            self.actions += [CancelAttempt(request.id, number) for number in numbers]
+
+    def _retry(self, now: float, request: InFlightRequest) -> bool:
+        """Send a retry, unless the client may have a part of a response already; return whether it was sent."""
+        return request.streaming_attempt is None and self._send_again(now, request, max_saturation=0.0)
 
     def _send_again(self, now: float, request: InFlightRequest, max_saturation: float) -> bool:
         """Send a retry or hedge; return whether it was sent."""
--- a/ingress/decisions/hedging.py
+++ b/ingress/decisions/hedging.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from math import inf
 
 from msgspec import Struct
 
@@ -63,13 +62,14 @@
     def pop_due(self, now: float, timer_resolution: float) -> Iterator[InFlightRequest]:
         """Remove the first candidates that are due or have no attempt in flight; yield those that may be hedged.
 
-        A request without a deadline is streaming its response, which no other attempt can replace.
+        A response that has started can't be replaced by another attempt.
         """
         candidates = self.candidates
         while candidates and (candidates[0].due_at <= now + timer_resolution or not candidates[0].request.in_flight):
             request = candidates.popleft().request
             has_one_attempt = not request.finished and len(request.in_flight) == 1
-            if has_one_attempt and request.deadline < inf and not request.customer.concurrency.reached():
+            is_unanswered = has_one_attempt and request.streaming_attempt is None
+            if is_unanswered and not request.customer.concurrency.reached():
                 yield request
 
     def next_timer(self, now: float) -> SetTimer | None:
--- a/ingress/gateway_runner.py
+++ b/ingress/gateway_runner.py
@@ -74,11 +74,11 @@
                 INGRESS_LOG.exception("could not perform the action %s", type(action).__name__)
 
     def _finish(self, request_id: str, event: Event, failed: bool) -> None:
-        """Remove a request after its last event, or abort it after a fault."""
+        """Remove a request after its last event, or abort it after a fault; a value that has begun is completed."""
         request = self.requests.in_flight.get(request_id)
         if request is None:
             return
         if isinstance(event, ClientDisconnected) or (isinstance(event, AttemptEnded) and event.request_finished):
             self.requests.forget(request_id)
-        elif failed:
+        elif failed and not request.has_owner():
             self.requests.abort(request)
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -198,7 +198,8 @@
         self.upload = None
         self.is_closing = True
         self.server.handler.client_disconnected(upload.slot)
-        upload.slot.send_answer(b"")
+        upload.slot.drop()
+        self.flush()
         self._close_when_finished()
 
     def pause_upload(self, is_paused: bool) -> None:
@@ -360,7 +361,7 @@
             self._reject_command(slot, str(error), body_size)
         except Exception:
             log.exception("internal error while executing a client command")
-            slot.send_answer(INTERNAL_ERROR)
+            slot.answer(INTERNAL_ERROR)
 
     def _dispatch(self, slot: ResponseSlot, arguments: list[Any], body_size: int) -> None:
         if not arguments or not all(isinstance(argument, bytes) for argument in arguments):
@@ -374,12 +375,12 @@
         elif body_size:
             raise CommandError("value too large")
         else:
-            slot.send_answer(answer_builtin(arguments, self.server.is_ready))
+            slot.answer(answer_builtin(arguments, self.server.is_ready))
 
     def _reject_command(self, slot: ResponseSlot, reason: str, body_size: int) -> None:
         self.server.record_malformed(reason)
         self.is_closing = body_size > 0  # The body of a rejected command is not read.
-        slot.send_answer(b"-ERR %b\r\n" % reason.encode())
+        slot.answer(b"-ERR %b\r\n" % reason.encode())
         self.malformed_count += 1
         if self.malformed_count > MAX_MALFORMED:
             self.fail_protocol("too many malformed commands")
@@ -403,7 +404,7 @@
         self.scanner = self.parser.scanner
         slot = ResponseSlot(self)
         self.slots.append(slot)
-        slot.send_answer(last_answer)
+        slot.answer(last_answer)
         self._update_reading()
 
     # Writing
@@ -576,5 +577,5 @@
         self.memory.close()
         for slot in slots:
             if slot.answer_data is None:
-                slot.answer_data = b""
+                slot.drop()
                 self.server.handler.client_disconnected(slot)
--- a/ingress/server/pending_request.py
+++ b/ingress/server/pending_request.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ingress.server.commands import Command
-from ingress.server.response_slot import ResponseSlot
+from ingress.server.response_slot import ResponseSlot, ResponseWriter
 from ingress.upstream.attempt import Attempt
 
 # The timeout of the gateway's decisions ends this many seconds before the client's deadline, or the client's timeout
@@ -37,6 +37,12 @@
         self.has_started = False
         self.is_complete = False
 
+    def accepts(self, attempt: Attempt) -> bool:
+        """Report whether the attempt may get the body, which only one attempt can get as a whole."""
+        if self.attempt is attempt:
+            return True
+        return not self.has_started and (self.attempt is None or self.attempt.has_ended)
+
 
 class PendingRequest:
     """A request without a complete response, or whose end the gateway has not been notified of yet.
@@ -51,7 +57,8 @@
         rejection_reason: The reason for the gateway's own final answer; empty if it gave none.
         memory_bytes: The memory that the request takes from the budget.
         attempts_in_flight: The attempts that have not ended.
-        streaming_attempt: The attempt whose value is passed to the client in chunks.
+        streaming_attempt: The attempt whose value is passed to the client in chunks; it owns the response.
+        writer: The writer of that value.
         deadline_timer: The timer that forces a final answer.
         upload: The body if it is received in chunks, else None.
     """
@@ -69,6 +76,7 @@
         "slot",
         "streaming_attempt",
         "upload",
+        "writer",
     )
 
     def __init__(self, request_id: str, slot: ResponseSlot, command: Command, deadline: float) -> None:
@@ -82,9 +90,17 @@
         self.memory_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, command.arguments))
         self.attempts_in_flight: set[Attempt] = set()
         self.streaming_attempt: Attempt | None = None
+        self.writer: ResponseWriter | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.upload = Upload() if command.body_size else None
 
+    def has_owner(self) -> bool:
+        """Report whether the response is complete, is being passed on, or is not needed any more.
+
+        No other attempt can answer the request then.
+        """
+        return self.is_answered or self.streaming_attempt is not None
+
     def answer_deadline(self) -> float:
         """Return the time at which a final answer is forced: after the gateway's deadline, however short it is."""
         return self.deadline - min(ANSWER_MARGIN, self.command.timeout / ANSWER_MARGIN_DIVISOR)
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -150,7 +150,8 @@
         request.upload.is_complete = is_last
         if is_last:
             request.deadline = received_at + request.command.timeout
-            self._start_deadline_timer(request)
+            if request.streaming_attempt is None:
+                self._start_deadline_timer(request)
             time_left = max(0.0, decision_timeout(request.command) - (self.clock() - received_at))
             self.feed(UploadFinished(request.request_id, time_left))
         self._forward_upload(request, request.upload)
@@ -162,7 +163,7 @@
             return
         self._finish(request, RequestResult.ABORTED)
         if request.streaming_attempt is not None:
-            self.pool.cancel_attempt(request.streaming_attempt)
+            self.pool.discard_response(request.streaming_attempt)
         self.feed(ClientDisconnected(request.request_id))
 
     def _forward_upload(self, request: PendingRequest, upload: Upload) -> None:
@@ -195,7 +196,7 @@
         if request is not None:
             number = request.attempt_count
             request.attempt_count += 1
-        if request is None or request.is_answered or number >= self.limits.max_attempts:
+        if request is None or request.has_owner() or number >= self.limits.max_attempts:
             self.feed(
                 AttemptEnded(
                     action.request_id,
@@ -247,8 +248,11 @@
         self._answer_for_gateway(request_id, FAILED, RequestResult.ABORTED, reason)
 
     def _answer_for_gateway(self, request_id: str, data: bytes, result: RequestResult, reason: str) -> None:
-        self.metrics.record_rejection(reason)
         request = self.in_flight.get(request_id)
+        if request is not None and request.streaming_attempt is not None and not request.is_answered:
+            log.warning("an answer of the gateway came after a value had begun; ignored it: %s", reason)
+            return
+        self.metrics.record_rejection(reason)
         if request is None:
             return
         if not request.is_answered:
@@ -272,7 +276,7 @@
         that are due.
         """
         request = self.in_flight.get(attempt.request_id)
-        if request is None or request.is_answered:
+        if request is None or request.has_owner():
             return False
         connection = request.slot.connection
         if connection.is_disconnected():
@@ -282,45 +286,65 @@
     def attempt_writable(self, attempt: Attempt) -> None:
         """Write the chunks of the request's body to an attempt that has become ready for them."""
         request = self.in_flight.get(attempt.request_id)
-        if request is None or request.upload is None or request.is_answered:
+        if request is None or request.upload is None or request.is_answered or not request.upload.accepts(attempt):
             self.pool.cancel_attempt(attempt)
             return
         request.upload.attempt = attempt
         self._forward_upload(request, request.upload)
 
     def chunk_received(self, attempt: Attempt, chunk: bytes, size: int, is_last: bool) -> None:
-        """Send a chunk of a long value to the client; after the first chunk no other attempt can answer the request."""
+        """Send a chunk of a long value to the client, if the attempt owns the response; the first chunk claims it."""
         request = self.in_flight.get(attempt.request_id)
-        if request is None or request.is_answered or request.streaming_attempt not in (None, attempt):
-            self.pool.cancel_attempt(attempt)
-            return
-        if request.streaming_attempt is None:
-            request.streaming_attempt = attempt
-            if request.deadline_timer is not None:
-                request.deadline_timer.cancel()
+        if request is not None and not request.has_owner():
+            self._claim(request, attempt)
             chunk = b"$%d\r\n%b" % (size, chunk)
-            latency = self.clock() - attempt.started_at
-            self.feed(ResponseStarted(request.request_id, attempt.number, attempt.endpoint_id, latency))
-        request.slot.send_chunk(chunk, attempt)
+        if not attempt.has_responded:
+            self._response_started(attempt, request)
+        if request is None or request.is_answered or request.streaming_attempt is not attempt:
+            return
+        assert request.writer is not None
+        request.writer.send_chunk(chunk, attempt)
         if is_last and not request.is_answered:
             self._finish(request, RequestResult.SUCCEEDED)
-            request.slot.finish()
+            request.writer.finish()
             attempt.resume()
 
+    def _claim(self, request: PendingRequest, attempt: Attempt) -> None:
+        """Let the attempt own the response: whatever the others return can't answer the request any more."""
+        request.streaming_attempt = attempt
+        request.writer = request.slot.claim()
+        if request.deadline_timer is not None:
+            request.deadline_timer.cancel()
+
+    def _response_started(self, attempt: Attempt, request: PendingRequest | None) -> None:
+        """Notify the gateway of the first chunk of a value, and release the attempts that it makes unnecessary."""
+        attempt.has_responded = True
+        latency = self.clock() - attempt.started_at
+        self.feed(ResponseStarted(attempt.request_id, attempt.number, attempt.endpoint_id, latency))
+        if request is not None and request.streaming_attempt is attempt:
+            self._discard_others(request)
+
+    def _discard_others(self, request: PendingRequest) -> None:
+        """Release the attempts that can't answer the request any more.
+
+        What was not sent completely is not sent at all. Whatever the other endpoints return is read and dropped,
+        unless the gateway cancels those attempts.
+        """
+        for attempt in list(request.attempts_in_flight):
+            if attempt is not request.streaming_attempt:
+                self.pool.cancel_unsent(attempt)
+                self.pool.discard_response(attempt)
+
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Answer the client if the attempt has returned a value, and notify the gateway."""
+        """Answer the client if the attempt owns the response or may claim it, and notify the gateway."""
         request = self.in_flight.get(attempt.request_id)
         self.attempts_in_flight.pop((attempt.request_id, attempt.number), None)
         if REQUESTS.isEnabledFor(logging.INFO):
             log_attempt(attempt, result.outcome, request, self.clock())
         if request is not None:
             request.attempts_in_flight.discard(attempt)
-            if request.streaming_attempt is attempt and not request.is_answered:
-                self._finish(request, RequestResult.ABORTED)
-                request.slot.abort(FAILED)
-            if result.value is not None and not request.is_answered:
-                self._record_value_size(len(result.value))
-                self._answer(request, bulk(result.value), RequestResult.SUCCEEDED)
+            if not request.is_answered:
+                self._apply_result(request, attempt, result)
         self.feed(
             AttemptEnded(
                 attempt.request_id,
@@ -334,6 +358,16 @@
             )
         )
 
+    def _apply_result(self, request: PendingRequest, attempt: Attempt, result: AttemptResult) -> None:
+        """Abort a value that its attempt has not completed, or answer with the value of the first attempt."""
+        if request.streaming_attempt is attempt:
+            self._finish(request, RequestResult.ABORTED)
+            assert request.writer is not None
+            request.writer.abort(FAILED)
+        elif request.streaming_attempt is None and result.value is not None:
+            self._record_value_size(len(result.value))
+            self._answer(request, bulk(result.value), RequestResult.SUCCEEDED)
+
     def _record_value_size(self, size: int) -> None:
         self.mean_value_bytes += (size - self.mean_value_bytes) * VALUE_SIZE_WEIGHT
 
@@ -362,7 +396,7 @@
 
     def _answer(self, request: PendingRequest, data: bytes, result: RequestResult) -> None:
         self._finish(request, result)
-        request.slot.send_answer(data)
+        request.slot.answer(data)
 
     def _finish(self, request: PendingRequest, result: RequestResult) -> None:
         """Mark a request as answered and record its result; every request ends here."""
@@ -374,9 +408,7 @@
             log_request(request, result, self.clock())
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
-        for attempt in list(request.attempts_in_flight):
-            if attempt is not request.streaming_attempt:
-                self.pool.cancel_unsent(attempt)
+        self._discard_others(request)
 
     def _finish_upload(self, request: PendingRequest, upload: Upload) -> None:
         self.budget.streaming_uploads -= 1
--- a/ingress/server/response_slot.py
+++ b/ingress/server/response_slot.py
@@ -72,11 +72,15 @@
 
 
 class ResponseSlot:
-    """One response: sent in one piece by `send_answer`, or by calls of `send_chunk` and then `finish` or `abort`.
+    """The place of one response in the order of its connection.
+
+    Only the `ResponseWriter` that `claim` returns can fill it, and it returns one only once: all bytes of a response
+    come from the same owner, an attempt or this gateway.
 
     Attributes:
         connection: The client connection.
         request_id: The id of the request; empty if the command is not a request.
+        is_claimed: Whether there is an owner, which alone may write the response.
         answer_data: The last bytes to be written; None until the response is complete.
         source: The source of the chunks of a long value while they are being received.
         chunks: The chunks that wait until the responses before them are written.
@@ -84,37 +88,62 @@
         counted_bytes: The waiting bytes that the memory account counts.
     """
 
-    __slots__ = ("answer_data", "chunks", "connection", "counted_bytes", "has_begun", "request_id", "source")
+    __slots__ = (
+        "answer_data",
+        "chunks",
+        "connection",
+        "counted_bytes",
+        "has_begun",
+        "is_claimed",
+        "request_id",
+        "source",
+    )
 
     def __init__(self, connection: SlotConnection) -> None:
         self.connection = connection
         self.request_id = ""
+        self.is_claimed = False
         self.answer_data: bytes | None = None
         self.source: ChunkSource | None = None
         self.chunks: list[bytes] = []
         self.has_begun = False
         self.counted_bytes = 0
 
-    def send_chunk(self, chunk: bytes, source: ChunkSource) -> None:
-        """Send a chunk of the response; pause the source while the client is slow or earlier responses are due."""
-        if self.answer_data is not None:
-            return
-        self.source = source
-        self.chunks.append(chunk)
-        self.connection.flush()
-        if self.answer_data is None:
-            self._count(sum(map(len, self.chunks)))
-        if self.connection.is_write_paused or self.chunks:
-            source.pause()
+    def claim(self) -> ResponseWriter | None:
+        """Return the only writer of the response, or None if it has an owner already or is complete."""
+        if self.is_claimed or self.answer_data is not None:
+            return None
+        self.is_claimed = True
+        return ResponseWriter(self)
+
+    def answer(self, data: bytes) -> bool:
+        """Claim the response and send it in one piece; return whether that was possible."""
+        writer = self.claim()
+        if writer is None:
+            return False
+        writer.send_answer(data)
+        return True
+
+    def drop(self) -> None:
+        """Complete the response without further bytes, because the connection ends."""
+        self.chunks = []
+        self.count_waiting(0)
+        self.source = None
+        self.answer_data = b""
 
     def take_chunks(self) -> list[bytes]:
         """Return the waiting chunks, which are written now."""
         chunks = self.chunks
         self.chunks = []
-        self._count(0)
+        self.count_waiting(0)
         self.has_begun = True
         return chunks
 
+    def take_answer(self) -> bytes:
+        """Return the complete response, which is written now."""
+        self.count_waiting(0)
+        return self.answer_data or b""
+
     def fail_if_broken(self) -> None:
         """Fail a value of which nothing is written yet, and of which the rest won't arrive.
 
@@ -124,44 +153,67 @@
         if self.source is not None and not self.has_begun and self.source.is_broken():
             self.source.fail()
 
+    def count_waiting(self, size: int) -> None:
+        """Count the bytes that wait in this slot."""
+        if size != self.counted_bytes:
+            self.connection.memory.add(Holder.ANSWERS, size - self.counted_bytes)
+            self.counted_bytes = size
+
+
+class ResponseWriter:
+    """The right to write one response: in one piece by `send_answer`, or by `send_chunk` and `finish` or `abort`.
+
+    Nothing is written once the response is complete.
+    """
+
+    __slots__ = ("_slot",)
+
+    def __init__(self, slot: ResponseSlot) -> None:
+        self._slot = slot
+
+    def send_chunk(self, chunk: bytes, source: ChunkSource) -> None:
+        """Send a chunk of the response; pause the source while the client is slow or earlier responses are due."""
+        slot = self._slot
+        if slot.answer_data is not None:
+            return
+        slot.source = source
+        slot.chunks.append(chunk)
+        slot.connection.flush()
+        if slot.answer_data is None:
+            slot.count_waiting(sum(map(len, slot.chunks)))
+        if slot.connection.is_write_paused or slot.chunks:
+            source.pause()
+
     def finish(self) -> None:
         """Complete the response after its last chunk."""
-        if self.answer_data is not None:
+        slot = self._slot
+        if slot.answer_data is not None:
             return
-        self.answer_data = b"".join(self.chunks)
-        self.chunks = []
-        self.source = None
-        self.connection.flush()
+        slot.answer_data = b"".join(slot.chunks)
+        slot.chunks = []
+        slot.source = None
+        slot.connection.flush()
 
     def abort(self, error: bytes) -> None:
         """Send the error instead of the chunks; if some are written, end the connection so that the client notices."""
-        if self.answer_data is not None:
+        slot = self._slot
+        if slot.answer_data is not None:
             return
-        self.chunks = []
-        self._count(0)
-        self.source = None
-        if not self.has_begun:
+        if not slot.has_begun:
+            slot.chunks = []
+            slot.count_waiting(0)
+            slot.source = None
             self.send_answer(error)
             return
-        self.answer_data = b""
-        self.connection.close_gracefully()
+        slot.drop()
+        slot.connection.close_gracefully()
 
     def send_answer(self, data: bytes) -> None:
-        """Send the complete response; a second response is ignored."""
-        if self.answer_data is not None:
+        """Send the complete response."""
+        slot = self._slot
+        if slot.answer_data is not None:
             return
-        self.answer_data = data
-        if not self.connection.is_next_to_write(self):
-            self._count(len(data))
-        self.connection.flush()
-
-    def take_answer(self) -> bytes:
-        """Return the complete response, which is written now."""
-        self._count(0)
-        return self.answer_data or b""
-
-    def _count(self, size: int) -> None:
-        """Count the bytes that wait in this slot."""
-        if size != self.counted_bytes:
-            self.connection.memory.add(Holder.ANSWERS, size - self.counted_bytes)
-            self.counted_bytes = size
+        slot.answer_data = data
+        if not slot.connection.is_next_to_write(slot):
+            slot.count_waiting(len(data))
+        slot.connection.flush()
--- a/ingress/upstream/attempt.py
+++ b/ingress/upstream/attempt.py
@@ -24,6 +24,9 @@
     after: bytes
 
 
+NO_COMMAND_PARTS = CommandParts(b"", b"", b"")
+
+
 class AttemptObserver(Protocol):
     """Interface that receives the events of its attempts."""
 
@@ -94,7 +97,7 @@
         endpoint_id: The id of the endpoint that the attempt is sent to.
         started_at: The start time, in seconds of the pool's clock.
         deadline: The time at which the attempt times out.
-        command_parts: The command to write.
+        command_parts: The command to write; empty once it is written.
         is_complete: Whether the complete body is known; if not, chunks follow and the timeout starts with the last.
         start_by: The time from which its first byte is no longer written.
         connection: The connection that carries the attempt, once there is one.
@@ -102,7 +105,10 @@
         timeout_timer: The timer that ends the attempt at its deadline.
         has_ended: Whether the observer has received the result.
         is_paused: Whether its response is left in the socket.
-        local_failure: Whether it failed because this process lacked a resource, not because of the endpoint.
+        is_discarded: Whether its response is read and dropped, because it can't answer the request any more.
+        has_responded: Whether a chunk of a long value has been received.
+        local_failure: Whether it failed because of this process, for example for lack of a resource, not because of
+            the endpoint.
     """
 
     counts_as_forward: ClassVar[bool] = True
@@ -121,10 +127,17 @@
     timeout_timer: asyncio.TimerHandle | None = None
     has_ended: bool = False
     is_paused: bool = False
+    is_discarded: bool = False
+    has_responded: bool = False
     local_failure: bool = False
 
     def pause(self) -> None:
-        """Apply back-pressure: stop reading the value until `resume`, also on a connection that it gets later."""
+        """Apply back-pressure: stop reading the value until `resume`, also on a connection that it gets later.
+
+        A discarded response needs none.
+        """
+        if self.is_discarded:
+            return
         self.is_paused = True
         if self.connection is not None:
             self.connection.set_reading(False)
@@ -162,7 +175,7 @@
 
     def is_unsent(self) -> bool:
         """Report whether the endpoint cannot have received the complete command yet."""
-        return self.connection is None or self.connection.has_unsent_data()
+        return not self.is_complete or self.connection is None or self.connection.has_unsent_data()
 
     def interpret(self, reply: Any) -> AttemptResult:
         """Return the meaning of a complete reply of the endpoint for this attempt."""
--- a/ingress/upstream/connection_pool.py
+++ b/ingress/upstream/connection_pool.py
@@ -10,7 +10,7 @@
 from ingress.runtime.memory_budget import MAX_STREAM_WINDOW, MemoryBudget
 from ingress.runtime.metrics import Metrics
 from ingress.runtime.sockets import Address
-from ingress.upstream.attempt import Attempt
+from ingress.upstream.attempt import NO_COMMAND_PARTS, Attempt
 from ingress.upstream.connection import SILENCE_TIMEOUT, Connection, EndpointConnections
 from ingress.upstream.connector import Connector, is_local_failure
 from ingress.upstream.pool_settings import PoolSettings
@@ -143,6 +143,20 @@
         elif attempt.is_unsent():
             self._abandon(attempt, Outcome.CANCELLED)
 
+    def discard_response(self, attempt: Attempt) -> None:
+        """Read and drop the response of an attempt, without memory for it, until it is complete or its deadline.
+
+        Its connection can be used again after a complete response.
+        """
+        if attempt.has_ended:
+            return
+        attempt.is_discarded = True
+        self.streaming.discard(attempt)
+        self.budget.streaming_responses = len(self.streaming)
+        attempt.resume()
+        if attempt.timeout_timer is None and attempt.is_complete:
+            self._start_timeout(attempt)
+
     def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         """End the attempt and notify its observer; repeated calls are ignored."""
         if attempt.has_ended:
@@ -160,11 +174,12 @@
 
     def forward_chunk(self, attempt: Attempt, chunk: bytes, size: int, is_last: bool) -> None:
         """Pass a chunk of a long value to the observer; an endpoint that is still sending is not timed out."""
-        if attempt not in self.streaming:
+        if attempt not in self.streaming and not attempt.is_discarded:
             self.streaming.add(attempt)
             self.budget.streaming_responses = len(self.streaming)
             if attempt.timeout_timer is not None:
                 attempt.timeout_timer.cancel()
+                attempt.timeout_timer = None
         attempt.observer.chunk_received(attempt, chunk, size, is_last)
 
     def write_chunk(self, attempt: Attempt, chunk: bytes, deadline: float | None) -> bool:
@@ -186,17 +201,22 @@
         if deadline is not None:
             attempt.is_complete = True
             attempt.deadline = deadline
-            time_left = max(0.0, deadline - self.clock())
-            attempt.timeout_timer = self.loop.call_later(time_left, self._attempt_timed_out, attempt)
+            if attempt not in self.streaming:
+                self._start_timeout(attempt)
             self.metrics.attempts_sent += 1
         return not connection.is_write_paused
 
+    def _start_timeout(self, attempt: Attempt) -> None:
+        time_left = max(0.0, attempt.deadline - self.clock())
+        attempt.timeout_timer = self.loop.call_later(time_left, self._attempt_timed_out, attempt)
+
     def _attempt_timed_out(self, attempt: Attempt) -> None:
         """End an attempt at its deadline; one that was never written never ran and ends as a failed connect.
 
-        If its response was left in the socket for lack of memory, the endpoint is not at fault.
+        If its response was left in the socket for lack of memory, or is a long value that is no longer needed, the
+        endpoint is not at fault.
         """
-        attempt.local_failure = attempt.is_paused
+        attempt.local_failure = attempt.is_paused or attempt.has_responded
         self._abandon(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
 
     def _abandon(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -260,6 +280,7 @@
         self.reused_count += connection.was_used
         connection.assign(attempt)
         connection.write(attempt.encode_command(self.clock()))
+        attempt.command_parts = NO_COMMAND_PARTS
         if not attempt.is_complete:
             attempt.observer.attempt_writable(attempt)
         elif attempt.counts_as_forward:
--- a/ingress/upstream/health_check.py
+++ b/ingress/upstream/health_check.py
@@ -10,13 +10,12 @@
 from ingress.decisions.endpoint import Outcome
 from ingress.decisions.events import HealthCheckEnded
 from ingress.runtime.clock import Clock
-from ingress.upstream.attempt import Attempt, AttemptObserver, CommandParts
+from ingress.upstream.attempt import NO_COMMAND_PARTS, Attempt, AttemptObserver
 from ingress.upstream.connection_pool import ConnectionPool
 from ingress.upstream.response_parser import AttemptResult
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 NO_REQUEST_ID = ""  # a check belongs to no request
-NO_COMMAND_PARTS = CommandParts(b"", b"", b"")
 
 
 class HealthCheck(Attempt, eq=False):
--- a/tests/test_net_closing.py
+++ b/tests/test_net_closing.py
@@ -195,8 +195,10 @@
             later = ResponseSlot(connection)
             connection.slots.extend([aborted, later])
             aborted.has_begun = True
-            aborted.abort(b"-ERR failed\r\n")
-            later.send_answer(b"+OK\r\n")
+            writer = aborted.claim()
+            assert writer is not None
+            writer.abort(b"-ERR failed\r\n")
+            assert later.answer(b"+OK\r\n")
             assert await read_to_eof(client) == b""
             client.close()
             await wait_until(lambda: not served.clients.connections)
