--- a/tests/test_net_response_owner.py
+++ b/tests/test_net_response_owner.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -287,14 +288,26 @@
 # Two attempts on real connections
 
 
+async def no_script(_: int, __: Reader, ___: Writer) -> None:
+    pass
+
+
 class RacingEndpoint:
-    """An endpoint of which each answer is sent in parts, when the test says so."""
+    """An endpoint of which each answer is sent in parts, when the test says so.
+
+    Attributes:
+        writers: The connection of each command, in the order of the commands.
+        connection_count: The number of connections so far.
+        eof_count: The number of connections that have ended.
+    """
 
     def __init__(self) -> None:
         self.writers: list[Writer] = []
+        self.connection_count = 0
         self.eof_count = 0
 
     async def script(self, _: int, reader: Reader, writer: Writer) -> None:
+        self.connection_count += 1
         try:
             while True:
                 await read_command(reader)
@@ -303,6 +316,20 @@
             self.eof_count += 1
 
 
+@asynccontextmanager
+async def two_endpoints(
+    make_peer: Callable[[int], Peer] = lambda _: Peer(no_script), **changes: Any
+) -> AsyncIterator[tuple[RacingEndpoint, RacingEndpoint, Ingress, Any]]:
+    """Run an ingress with the endpoints s1 and s2; yield both, the ingress and its address."""
+    first, second = RacingEndpoint(), RacingEndpoint()
+    one, two = make_peer(1), make_peer(2)
+    one.script, two.script = first.script, second.script
+    async with one, two:
+        entries = endpoint_entry(one.address), endpoint_entry(two.address, "s2")
+        async with running_ingress(config(*entries, **changes)) as (served, address):
+            yield first, second, served, address
+
+
 VALUE = b"A" * 200_000
 VALUE_ANSWER = endpoint_answer(VALUE)
 HEAD_BYTES = VALUE_ANSWER.index(b"A")
@@ -362,15 +389,7 @@
     """Guards against the answer of a hedge that is written into a long value (review/6)."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"))) as (
-                served,
-                address,
-            ),
-        ):
+        async with two_endpoints() as (first, second, served, address):
             client = await RespClient.connect(address)
             gateway = await race_two(first, second, served, client, begun_bytes)
             if loser_answer is None:
@@ -405,15 +424,7 @@
     """Guards against a drain, a reload or a shutdown that lets the second answer end or replace the first."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"))) as (
-                served,
-                address,
-            ),
-        ):
+        async with two_endpoints() as (first, second, served, address):
             client = await slow_client(served, address)
             await race_two(first, second, served, client, 1000)
             await between(served)
@@ -430,20 +441,20 @@
 
     async def body() -> None:
         authority = Authority(tmp_path / "pki")
-        first, second = RacingEndpoint(), RacingEndpoint()
-        one, two = SecurePeer(authority.sign("s1")), SecurePeer(authority.sign("s2"))
-        one.script, two.script = first.script, second.script
         changes: dict[str, Any] = {"server-tls": {"ca": str(authority.path)}}
-        async with one, two:
-            entries = endpoint_entry(one.address), endpoint_entry(two.address, "s2")
-            async with running_ingress(config(*entries, **changes)) as (served, address):
-                client = await RespClient.connect(address)
-                await race_two(first, second, served, client, 1000)
-                second.writers[0].write(SMALLER)
-                await asyncio.sleep(0.05)
-                first.writers[0].write(VALUE_ANSWER[HEAD_BYTES + 1000 :])
-                assert await client.read_answer() == VALUE
-                assert await client.read_answer() == b"PONG"
+        async with two_endpoints(lambda number: SecurePeer(authority.sign(f"s{number}")), **changes) as (
+            first,
+            second,
+            served,
+            address,
+        ):
+            client = await RespClient.connect(address)
+            await race_two(first, second, served, client, 1000)
+            second.writers[0].write(SMALLER)
+            await asyncio.sleep(0.05)
+            first.writers[0].write(VALUE_ANSWER[HEAD_BYTES + 1000 :])
+            assert await client.read_answer() == VALUE
+            assert await client.read_answer() == b"PONG"
 
     run_async(body())
 
@@ -455,15 +466,7 @@
     """Guards against a connection that is closed for a loser though attempts may not be cancelled."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"))) as (
-                served,
-                address,
-            ),
-        ):
+        async with two_endpoints() as (first, second, served, address):
             client = await RespClient.connect(address)
             gateway = await race_two(first, second, served, client, 1000)
             second.writers[0].write(LARGER[:100_000])
@@ -479,7 +482,7 @@
             await wait_until(lambda: len(second.writers) == 2)
             second.writers[1].write(endpoint_answer(b"next"))
             assert await other.read_answer() == b"next"
-            assert two.connections == 1
+            assert second.connection_count == 1
 
     run_async(body())
 
@@ -489,15 +492,7 @@
     """Guards against a loser that holds a connection and a share of a limit for as long as its endpoint likes."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"))) as (
-                served,
-                address,
-            ),
-        ):
+        async with two_endpoints() as (first, second, served, address):
             client = await RespClient.connect(address)
             gateway = use_two_attempts(served)
             client.writer.write(command("raced", d=DEADLINE_MS))
@@ -538,20 +533,10 @@
     """Guards against review/6 with the decisions that send the hedge, while a reload forbids hedges meanwhile."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
         classes = [SETTINGS["categories"][0] | {"aim-s": 0.1}]
         limits = SETTINGS["limits"] | {"second-copies": True, "cancel": False}
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(
-                config(
-                    endpoint_entry(one.address),
-                    endpoint_entry(two.address, "s2"),
-                    settings=SETTINGS | {"categories": classes, "limits": limits},
-                )
-            ) as (served, address),
-        ):
+        hedging = SETTINGS | {"categories": classes, "limits": limits}
+        async with two_endpoints(settings=hedging) as (first, second, served, address):
             forwarder = served.gateway.forwarder
             forwarder.retry_budget.level = 5.0
             forwarder.hedging.win_rate = 1.0
@@ -584,15 +569,7 @@
     """Guards against a body of which two endpoints get a part each, when the second attempt is ready first."""
 
     async def body() -> None:
-        first, second = RacingEndpoint(), RacingEndpoint()
-        async with (
-            Peer(first.script) as one,
-            Peer(second.script) as two,
-            running_ingress(config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"))) as (
-                served,
-                address,
-            ),
-        ):
+        async with two_endpoints() as (first, second, served, address):
             gateway = use_two_attempts(served)
             client = await RespClient.connect(address)
             client.writer.write(UPLOAD[:-20_000])
