Write a whole response without a writer object; keep started responses in a tuple

Change: ResponseSlot.answer completes the response itself, no set is made for each request, and no list of other attempts where there is none.

--- a/ingress/decisions/forwarding.py
+++ b/ingress/decisions/forwarding.py
@@ -131,7 +131,7 @@
         request = self.attempts.get(attempt_id)
         if request is None or event.attempt in request.responded:
             return
-        request.responded.add(event.attempt)
+        request.responded += (event.attempt,)
         endpoint = request.in_flight[event.attempt]
         endpoint.attempt_ended(attempt_id, now)
         if request.finished or request.streaming_attempt is not None:
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -408,7 +408,8 @@
             log_request(request, result, self.clock())
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
-        self._discard_others(request)
+        if request.attempts_in_flight:
+            self._discard_others(request)
 
     def _finish_upload(self, request: PendingRequest, upload: Upload) -> None:
         self.budget.streaming_uploads -= 1
--- a/ingress/server/response_slot.py
+++ b/ingress/server/response_slot.py
@@ -118,12 +118,18 @@
 
     def answer(self, data: bytes) -> bool:
         """Claim the response and send it in one piece; return whether that was possible."""
-        writer = self.claim()
-        if writer is None:
+        if self.is_claimed or self.answer_data is not None:
             return False
-        writer.send_answer(data)
+        self.is_claimed = True
+        self._complete(data)
         return True
 
+    def _complete(self, data: bytes) -> None:
+        self.answer_data = data
+        if not self.connection.is_next_to_write(self):
+            self.count_waiting(len(data))
+        self.connection.flush()
+
     def drop(self) -> None:
         """Complete the response without further bytes, because the connection ends."""
         self.chunks = []
@@ -210,10 +216,5 @@
 
     def send_answer(self, data: bytes) -> None:
         """Send the complete response."""
-        slot = self._slot
-        if slot.answer_data is not None:
-            return
-        slot.answer_data = data
-        if not slot.connection.is_next_to_write(slot):
-            slot.count_waiting(len(data))
-        slot.connection.flush()
+        if self._slot.answer_data is None:
+            self._slot._complete(data)
