--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections import deque
@@ -216,6 +215,14 @@
         self.flush()
         self._close_when_finished()
 
+    def drop_upload(self) -> None:
+        """End the request of an incomplete body, the only one of the connection, without a response."""
+        if self.upload is not None:
+            self.server.handler.client_disconnected(self.upload.slot)
+            self.upload.slot.drop()
+            self.upload = None
+            self.slots.clear()
+
     def pause_upload(self, is_paused: bool) -> None:
         """Pause or resume reading the current body, as back-pressure on the client."""
         if self.upload is not None:
@@ -557,30 +564,6 @@
             return False
         return not self.scanner.in_frame() and not peek_byte(self.socket)
 
-    def is_closable(self) -> bool:
-        """Report whether the connection is idle and can be closed at once without losing an answer.
-
-        Closing at once resets the connection if the client sends more, and what it has not received yet is lost.
-        """
-        return self.is_idle() and not self.has_undelivered()
-
-    # Making room for other connections
-
-    def evict(self) -> None:
-        """Close the connection at once to make room for another one; an incomplete command is refused."""
-        if self.transport is None:
-            with contextlib.suppress(OSError):  # the peer has closed it already
-                self.socket.shutdown(socket.SHUT_RDWR)  # ends the TLS handshake
-            return
-        if self.linger_timer is None and (self.slots or self.scanner.in_frame()):
-            self.transport.write(TRY_AGAIN_LATER)
-        if self.upload is not None:
-            self.server.handler.client_disconnected(self.upload.slot)
-            self.upload.slot.drop()
-            self.upload = None
-            self.slots.clear()
-        self.close()
-
     def is_disconnected(self) -> bool:
         """Report whether the client can't be answered any more, even if the event loop has not reported it yet.
 
--- a/ingress/server/client_timeouts.py
+++ b/ingress/server/client_timeouts.py
@@ -26,7 +26,15 @@
 
 def has_expired(connection: ClientConnection, now: float) -> bool:
     """Report whether the connection has been idle for so long that it may be closed."""
-    return now - connection.last_used_at > IDLE_TIMEOUT and connection.is_closable()
+    return now - connection.last_used_at > IDLE_TIMEOUT and _is_closable(connection)
+
+
+def _is_closable(connection: ClientConnection) -> bool:
+    """Report whether the connection is idle and can be closed at once without losing an answer.
+
+    Closing at once resets the connection if the client sends more, and what it has not received yet is lost.
+    """
+    return connection.is_idle() and not connection.has_undelivered()
 
 
 def _drain_is_overdue(connection: ClientConnection, now: float) -> bool:
--- a/ingress/server/evictor.py
+++ b/ingress/server/evictor.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections.abc import Callable
 
 from ingress.runtime.clock import Clock
 from ingress.runtime.sockets import peek_byte
-from ingress.server.client_connection import ClientConnection
+from ingress.server.client_connection import TRY_AGAIN_LATER, ClientConnection
 from ingress.server.eviction import Candidate, EvictionRank, KnownAddresses, Occupancy, eviction_key, eviction_rank
 from ingress.server.fair_shares import ConnectionShares
 
@@ -47,7 +49,7 @@
             if evicted_count == count:
                 break
             if is_evictable(connection):
-                connection.evict()
+                close_for_another(connection)
                 evicted_count += 1
         self.evicted_count += evicted_count
         return evicted_count
@@ -119,3 +121,16 @@
     if connection.has_undelivered():
         return False
     return connection.lacks_memory or not peek_byte(connection.socket)
+
+
+def close_for_another(connection: ClientConnection) -> None:
+    """Close the connection at once; an incomplete command is refused."""
+    transport = connection.transport
+    if transport is None:
+        with contextlib.suppress(OSError):  # the peer has closed it already
+            connection.socket.shutdown(socket.SHUT_RDWR)  # ends the TLS handshake
+        return
+    if connection.linger_timer is None and (connection.slots or connection.scanner.in_frame()):
+        transport.write(TRY_AGAIN_LATER)
+    connection.drop_upload()
+    connection.close()
