--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -63,6 +63,7 @@
         malformed_count: The number of malformed commands since the start.
         rejected_count: The number of connections rejected since the start.
         evictor: Closes connections to make room for others.
+        is_closed: Whether all connections end, and none is accepted any more.
         last_read_at: The time of the latest read on any connection.
         delayed_until: The time until which bytes that are read may have waited in the socket during CPU starvation.
     """
@@ -100,6 +101,7 @@
         self.acceptor = Listener(settings.address, self._connection_accepted, settings.inherited_socket)
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.room_timer: asyncio.TimerHandle | None = None
+        self.is_closed = False
 
     @property
     def listening_socket(self) -> socket.socket:
@@ -193,6 +195,8 @@
         if self.room_timer is not None:
             self.room_timer.cancel()
             self.room_timer = None
+        if self.is_closed:
+            return
         if not self.acceptor.accepting:
             self._release_spare_places()
         elif self.over_limit:
@@ -283,6 +287,7 @@
             self.sweep_timer.cancel()
         if self.room_timer is not None:
             self.room_timer.cancel()
+        self.is_closed = True
         self.acceptor.close()
         for connection in list(self.connections):
             connection.end()
