--- a/tests/test_net_response_owner.py
+++ b/tests/test_net_response_owner.py
@@ -38,6 +38,8 @@
     run_async,
     wait_until,
 )
+from tests.test_net_control import ADMIN_LISTEN
+from tests.test_net_handover import ingress_process, listen_address
 from tests.test_net_ingress import StubGateway, running_ingress
 from tests.test_net_long import slow_client
 from tests.test_net_tls import SecurePeer
@@ -436,6 +438,30 @@
     run_async(body())
 
 
+def test_a_value_is_whole_though_its_process_is_replaced_between_two_answers(tmp_path: Path) -> None:
+    """Guards against an upgrade that lets the second answer end or replace the first."""
+
+    async def body() -> None:
+        first, second = RacingEndpoint(), RacingEndpoint()
+        path = tmp_path / "group"
+        async with Peer(first.script) as one, Peer(second.script) as two:
+            settings = config(endpoint_entry(one.address), endpoint_entry(two.address, "s2"), control=ADMIN_LISTEN)
+            async with ingress_process(settings, path) as (old, stop):
+                client = await RespClient.connect(listen_address(old))
+                await race_two(first, second, old, client, 1000)
+                async with ingress_process(settings, path):
+                    await wait_until(lambda: old.process_group.successor)
+                    stop.set()
+                    await asyncio.sleep(0.05)
+                    second.writers[0].write(SMALLER)
+                    await asyncio.sleep(0.05)
+                    first.writers[0].write(VALUE_ANSWER[HEAD_BYTES + 1000 :])
+                    assert await client.read_answer() == VALUE
+                    assert await client.read_answer() == b"PONG"
+
+    run_async(body())
+
+
 def test_a_hedge_under_tls_does_not_change_a_value(tmp_path: Path) -> None:
     """Guards against the same mixture on connections with TLS on both sides."""
 
