Let one piece of code drop chunks, take ownership, and count connections that stay

ResponseWriter.send_answer had no caller but abort, which also cleared a slot a second way; claim and answer had the same check twice; two methods computed the connections that are not about to end. Tests of evictions wrote gated_endpoint and from_address again and call them now. Behaviour and assertions unchanged.

--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -217,13 +217,12 @@
 
     def _missing_places(self) -> int:
         """Return how many connections have to be closed for those that wait to be accepted."""
-        kept_count = len(self.connections) - self.evictor.closing_count()
-        return kept_count + self.acceptor.waiting_count() - self.max_connections
+        return self.evictor.kept_count() + self.acceptor.waiting_count() - self.max_connections
 
     def _release_spare_places(self) -> None:
         """Close connections of strangers, as the process that accepts gets the places that this one does not use."""
-        kept_count = len(self.connections) - self.evictor.closing_count()
-        self.evictor.evict(kept_count - int(CONTENDED_SHARE * self.max_connections), EvictionRank.STRANGER)
+        surplus_count = self.evictor.kept_count() - int(CONTENDED_SHARE * self.max_connections)
+        self.evictor.evict(surplus_count, EvictionRank.STRANGER)
 
     def _evict_from(self, peer: str) -> bool:
         """Close a connection from an address to make room for a new one from there; return whether there was one."""
--- a/ingress/server/evictor.py
+++ b/ingress/server/evictor.py
@@ -31,9 +31,9 @@
         self.known_addresses = KnownAddresses()
         self.evicted_count = 0
 
-    def closing_count(self) -> int:
-        """Return how many connections are about to end, whatever their peers do."""
-        return sum(is_ending(connection) for connection in self.connections)
+    def kept_count(self) -> int:
+        """Return how many connections are not about to end by themselves."""
+        return sum(not is_ending(connection) for connection in self.connections)
 
     def evict(
         self,
--- a/ingress/server/response_slot.py
+++ b/ingress/server/response_slot.py
@@ -74,8 +74,8 @@
 class ResponseSlot:
     """The place of one response in the order of its connection.
 
-    Only the `ResponseWriter` that `claim` returns can fill it, and it returns one only once: all bytes of a response
-    come from the same owner, an attempt or this gateway.
+    It is filled by the `ResponseWriter` that `claim` returns or by `answer`, whichever is called first, and only once:
+    all bytes of a response come from the same owner, an attempt or this gateway.
 
     Attributes:
         connection: The client connection.
@@ -111,17 +111,19 @@
 
     def claim(self) -> ResponseWriter | None:
         """Return the only writer of the response, or None if it has an owner already or is complete."""
-        if self.is_claimed or self.answer_data is not None:
-            return None
-        self.is_claimed = True
-        return ResponseWriter(self)
+        return ResponseWriter(self) if self._take_ownership() else None
 
     def answer(self, data: bytes) -> bool:
         """Claim the response and send it in one piece; return whether that was possible."""
+        if not self._take_ownership():
+            return False
+        self._complete(data)
+        return True
+
+    def _take_ownership(self) -> bool:
         if self.is_claimed or self.answer_data is not None:
             return False
         self.is_claimed = True
-        self._complete(data)
         return True
 
     def _complete(self, data: bytes) -> None:
@@ -132,10 +134,14 @@
 
     def drop(self) -> None:
         """Complete the response without further bytes, because the connection ends."""
+        self.drop_chunks()
+        self.answer_data = b""
+
+    def drop_chunks(self) -> None:
+        """Drop the chunks that wait, and detach their source."""
         self.chunks = []
         self.count_waiting(0)
         self.source = None
-        self.answer_data = b""
 
     def take_chunks(self) -> list[bytes]:
         """Return the waiting chunks, which are written now."""
@@ -167,7 +173,7 @@
 
 
 class ResponseWriter:
-    """The right to write one response: in one piece by `send_answer`, or by `send_chunk` and `finish` or `abort`.
+    """The right to write one response in chunks, by `send_chunk` and then `finish` or `abort`.
 
     Nothing is written once the response is complete.
     """
@@ -205,16 +211,9 @@
         slot = self._slot
         if slot.answer_data is not None:
             return
-        if not slot.has_begun:
-            slot.chunks = []
-            slot.count_waiting(0)
-            slot.source = None
-            self.send_answer(error)
-            return
-        slot.drop()
-        slot.connection.close_gracefully()
-
-    def send_answer(self, data: bytes) -> None:
-        """Send the complete response."""
-        if self._slot.answer_data is None:
-            self._slot._complete(data)
+        if slot.has_begun:
+            slot.drop()
+            slot.connection.close_gracefully()
+        else:
+            slot.drop_chunks()
+            slot._complete(error)
--- a/tests/test_net_eviction.py
+++ b/tests/test_net_eviction.py
@@ -33,25 +33,14 @@
     eviction_key,
     eviction_rank,
 )
-from tests.peers import (
-    Address,
-    Peer,
-    Reader,
-    RespClient,
-    Writer,
-    command,
-    config,
-    endpoint_answer,
-    fake_endpoint,
-    read_command,
-    run_async,
-    wait_until,
-)
+from tests.peers import Address, RespClient, command, config, fake_endpoint, run_async, wait_until
+from tests.test_net_connections import from_address
 from tests.test_net_descriptors import read_metrics
 from tests.test_net_handover import ingress_config, ingress_process, listen_address
 from tests.test_net_ingress import StubGateway, running_ingress, start_attempts
 from tests.test_net_signals import Program, check_no_traceback, eight_endpoints, launched
 from tests.test_net_tls import secure, trusting
+from tests.test_net_unexecuted_commands import gated_endpoint
 
 SOCKETS = 256
 PLACE_COUNT = 104  # for connections of clients, with that many descriptors
@@ -235,7 +224,7 @@
 
 async def send_in_pieces(program: Program, host: str, interval_s: float) -> Any:
     """Send a request in six pieces from an address, and return its answer."""
-    client = RespClient(*await asyncio.open_connection(*program.address, local_addr=(host, 0)))
+    client = await from_address(host, program.address)
     data = command("pieces", d=DEADLINE_MS)
     step = -(-len(data) // 6)
     for start in range(0, len(data), step):
@@ -265,7 +254,7 @@
     async def body() -> None:
         async with ready_program(tmp_path) as program:
             if is_known:
-                before = RespClient(*await asyncio.open_connection(*program.address, local_addr=(host, 0)))
+                before = await from_address(host, program.address)
                 assert await before.request(command("before")) == b"before"
                 before.writer.close()
             peers = Peers(program.address, 6, send_40_bytes)
@@ -300,14 +289,11 @@
     """Guards against an answer that is lost for a new connection, and against waiting without end for a place."""
     may_answer = asyncio.Event()
 
-    async def script(_: int, reader: Reader, writer: Writer) -> None:
-        while True:
-            words = await read_command(reader)
-            await may_answer.wait()
-            writer.write(endpoint_answer(words[2]))
-
     async def body() -> None:
-        async with Peer(script) as endpoint, running_ingress(config(*eight_endpoints(endpoint))) as (served, address):
+        async with (
+            gated_endpoint(may_answer) as endpoint,
+            running_ingress(config(*eight_endpoints(endpoint))) as (served, address),
+        ):
             served.runner.gateway = StubGateway(start_attempts)  # type: ignore[assignment]
             served.clients.resize(8)
             waiting = [await RespClient.connect(address) for _ in range(8)]
