--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -17,6 +17,13 @@
         read_known_red(text)
 
 
+def test_a_line_without_a_case_is_about_all_cases_of_a_test() -> None:
+    known = KnownRed("a.py::test", "why", "issue 1")
+    assert known.matches("a.py::test") and known.matches("a.py::test[1-x]")
+    assert not known.matches("a.py::test_2") and not known.matches("a.py::test_2[1]")
+    assert not KnownRed("a.py::test[1]", "why", "issue 1").matches("a.py::test[2]")
+
+
 def test_each_listed_test_exists() -> None:
     for known in load_known_red():
         name, _, rest = known.test.partition("::")
