Log times and peers, and count malformed commands and closed connections by reason

The log of the incident had no times, did not say who sent a malformed command, and nothing told why a connection was closed. The text log now begins each line with its time (UTC), a malformed command names its peer, and show-stat has app.malformed and app.closed.REASON. The golden answer to show-stat stays as it is: the test takes the added lines out, which have to be exactly the ones it names.

--- a/ingress/runtime/logs.py
+++ b/ingress/runtime/logs.py
@@ -5,9 +5,12 @@
 import json
 import logging
 import sys
+import time
 
 KINDS = ("", "json", "requests")  # the valid values of EDGE_LOG
 LOGGED_FAILURE_COUNTS = (0, 10, 100, 1000)  # a repeated failure is logged after this many consecutive earlier ones
+TEXT_FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)s %(name)s: %(message)s"
+TEXT_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"  # in UTC
 TIME_DIGITS = 6  # decimal places of the time of a record: microseconds
 REQUESTS = logging.getLogger("ingress.requests")  # its records have an attribute `fields`
 REQUESTS.setLevel(logging.WARNING)
@@ -40,8 +43,9 @@
     """
     if kind not in KINDS:
         raise ValueError(f"EDGE_LOG: {kind!r} is not one of {', '.join(KINDS[1:])}")
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
-    if kind:
-        logging.getLogger().handlers[0].setFormatter(JsonLines())
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+    formatter = JsonLines() if kind else logging.Formatter(TEXT_FORMAT, TEXT_TIME_FORMAT)
+    formatter.converter = time.gmtime
+    logging.getLogger().handlers[0].setFormatter(formatter)
     if kind == "requests":
         REQUESTS.setLevel(logging.INFO)
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -13,6 +13,7 @@
 from ingress.runtime.memory_budget import Holder, MemoryAccount, MemoryBudget
 from ingress.runtime.sockets import is_closed_by_peer, peek_byte, seconds_since_last_receive
 from ingress.server.builtin_commands import answer_builtin
+from ingress.server.close_reason import CloseReason
 from ingress.server.command_parser import CommandParser
 from ingress.server.commands import READ_VERB, WRITE_VERB, CommandError, CommandReader
 from ingress.server.eviction import KnownAddresses
@@ -64,10 +65,14 @@
         """Return for how many seconds the bytes that are read now have been waiting in the socket."""
         ...
 
-    def record_malformed(self, reason: str) -> None:
+    def record_malformed(self, reason: str, peer: str) -> None:
         """Count and log a malformed command."""
         ...
 
+    def record_closed(self, reason: CloseReason) -> None:
+        """Count a connection that this side closes."""
+        ...
+
     def connection_lost(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         ...
@@ -191,7 +196,8 @@
         if is_last:
             self.upload = None
             if not upload.is_terminated():
-                self.server.record_malformed("long body is not followed by CRLF at its declared size")
+                self.server.record_malformed("long body is not followed by CRLF at its declared size", self.peer)
+                self.server.record_closed(CloseReason.MALFORMED)
                 self._abandon_upload(upload)
                 return b""
             self._record_request()
@@ -204,6 +210,7 @@
     def fail_upload(self) -> None:
         """End the connection because the rest of the current body is overdue."""
         if self.upload is not None:
+            self.server.record_closed(CloseReason.OVERDUE)
             self._abandon_upload(self.upload)
 
     def _abandon_upload(self, upload: UploadReader) -> None:
@@ -407,23 +414,25 @@
             self.server.known_addresses.add(self.peer)
 
     def _reject_command(self, slot: ResponseSlot, reason: str, body_size: int) -> None:
-        self.server.record_malformed(reason)
+        self.server.record_malformed(reason, self.peer)
         self.is_closing = body_size > 0  # The body of a rejected command is not read.
         slot.answer(b"-ERR %b\r\n" % reason.encode())
         self.malformed_count += 1
         if self.malformed_count > MAX_MALFORMED:
             self.fail_protocol("too many malformed commands")
 
-    def fail_protocol(self, reason: str) -> None:
+    def fail_protocol(self, reason: str, close_reason: CloseReason = CloseReason.MALFORMED) -> None:
         """End the connection after the outstanding responses and an error.
 
         After a protocol error the stream can't be parsed any further.
         """
-        self.server.record_malformed(reason)
+        self.server.record_malformed(reason, self.peer)
+        self.server.record_closed(close_reason)
         self._end_after(b"-ERR %b\r\n" % reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" "))
 
     def refuse_incomplete(self) -> None:
         """End the connection because there was no room for the rest of its command; the client may try again."""
+        self.server.record_closed(CloseReason.NO_MEMORY)
         self._end_after(TRY_AGAIN_LATER)
 
     def _end_after(self, last_answer: bytes) -> None:
--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -16,6 +16,7 @@
 from ingress.runtime.sockets import seconds_since_last_receive
 from ingress.server.client_connection import ClientConnection
 from ingress.server.client_timeouts import check_timeouts, has_expired
+from ingress.server.close_reason import CloseReason
 from ingress.server.commands import CommandReader
 from ingress.server.eviction import EvictionRank, Occupancy
 from ingress.server.evictor import Evictor, occupancy
@@ -62,6 +63,7 @@
         over_limit: Whether more connections are open than a lowered limit allows.
         malformed_count: The number of malformed commands since the start.
         rejected_count: The number of connections rejected since the start.
+        closed_counts: The numbers of connections that this side has closed since the start, by reason.
         evictor: Closes connections to make room for others.
         is_closed: Whether all connections end, and none is accepted any more.
         last_read_at: The time of the latest read on any connection.
@@ -95,6 +97,7 @@
         self.over_limit = False
         self.malformed_count = 0
         self.rejected_count = 0
+        self.closed_counts = dict.fromkeys(CloseReason, 0)
         self.last_read_at = 0.0
         self.delayed_until = 0.0
         self.loop_lag = LoopLag()
@@ -132,11 +135,15 @@
             self.delayed_until = now + min(gap, MAX_BACKLOG_READ_TIME)
         return seconds_since_last_receive(sock) if now <= self.delayed_until else 0.0
 
-    def record_malformed(self, reason: str) -> None:
+    def record_malformed(self, reason: str, peer: str) -> None:
         """Count a malformed command; log the first ones and a sample of the later ones."""
         self.malformed_count += 1
         if self.malformed_count <= LOGGED_MALFORMED or self.malformed_count % LOGGED_MALFORMED_STEP == 0:
-            log.warning("malformed command %d: %s", self.malformed_count, reason)
+            log.warning("malformed command %d: %s, from %s", self.malformed_count, reason, peer)
+
+    def record_closed(self, reason: CloseReason) -> None:
+        """Count a connection that this side closes."""
+        self.closed_counts[reason] += 1
 
     def connection_lost(self, connection: ClientConnection) -> None:
         """Remove a closed connection, and accept again if there is capacity."""
@@ -293,6 +300,7 @@
 
     def metrics(self) -> dict[str, int]:
         """Return the metrics of the connections: current values, and counts since the start."""
+        closed = {f"closed.{reason.value}": count for reason, count in self.closed_counts.items()}
         return {
             "connections.clients": len(self.connections),
             "accepted": self.acceptor.accepted_count,
@@ -300,7 +308,10 @@
             "evicted": self.evictor.evicted_count,
             "no_descriptor": self.acceptor.exhausted_count,
             "client_addresses": len(self.shares.by_address),
-        } | self.loop_lag.metrics()
+            "malformed": self.malformed_count,
+            **closed,
+            **self.loop_lag.metrics(),
+        }
 
 
 def is_idle(connection: ClientConnection) -> bool:
--- a/ingress/server/client_timeouts.py
+++ b/ingress/server/client_timeouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ingress.server.client_connection import ClientConnection
+from ingress.server.close_reason import CloseReason
 from ingress.server.lingering_connection import STALL_TIMEOUT
 
 # All timeouts are in seconds.
@@ -14,9 +15,11 @@
 def check_timeouts(connection: ClientConnection, now: float) -> None:
     """End the connection if a timeout has passed at the time `now`, in seconds of the server's clock."""
     if _drain_is_overdue(connection, now):
+        connection.server.record_closed(CloseReason.DRAINED)
         connection.close_gracefully()
     elif _is_stalled(connection, now):
         if connection.transport is not None:
+            connection.server.record_closed(CloseReason.STALLED)
             connection.transport.abort()
     elif connection.upload is not None and connection.upload.is_overdue(now):
         connection.fail_upload()
@@ -72,6 +75,7 @@
     elif connection.lacks_memory:
         connection.refuse_incomplete()
     elif connection.scanner.in_frame():
-        connection.fail_protocol("no whole command in time")
+        connection.fail_protocol("no whole command in time", CloseReason.OVERDUE)
     elif connection.is_idle():
+        connection.server.record_closed(CloseReason.IDLE)
         connection.close_gracefully()
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -21,6 +21,16 @@
 from tests.test_net_control import ADMIN_LISTEN, admin_call
 from tests.test_net_ingress import running_ingress
 
+# The metrics that have been added since the golden files were written; in the order of the answer to `show-stat`.
+ADDED_METRICS = (
+    "app.malformed:|c",
+    "app.closed.malformed:|c",
+    "app.closed.overdue:|c",
+    "app.closed.memory:|c",
+    "app.closed.stalled:|c",
+    "app.closed.idle:|c",
+    "app.closed.drained:|c",
+)
 COMMANDS = (b"ready", b"show-stat", b"drain", b"resume", b"revert", b"show-members", b"show-config", b"colour", b"")
 
 
@@ -44,7 +54,14 @@
     text = "".join(f"> {line.decode()}\n{answer}" for line, answer in answers)
     text = re.sub(r"(?m)^(digest|since): .*$", r"\1:", text)
     text = re.sub(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ", "TIME", text)
-    return re.sub(r"(?m)^(app\..*:)-?\d+\|", r"\1|", text).encode()
+    return without_added_metrics(re.sub(r"(?m)^(app\..*:)-?\d+\|", r"\1|", text)).encode()
+
+
+def without_added_metrics(text: str) -> str:
+    """Return the text without ADDED_METRICS, which have to be in it, in their order and once."""
+    lines = text.splitlines()
+    assert [line for line in lines if line in ADDED_METRICS] == list(ADDED_METRICS)
+    return "".join(f"{line}\n" for line in lines if line not in ADDED_METRICS)
 
 
 def metric_lines() -> bytes:
--- a/tests/test_net_metrics.py
+++ b/tests/test_net_metrics.py
@@ -8,6 +8,7 @@
 from ingress.decisions.events import Event, RequestReceived
 from ingress.ingress import Ingress
 from ingress.runtime.metrics import GAUGES
+from ingress.server.close_reason import CloseReason
 from tests.peers import (
     Peer,
     Reader,
@@ -87,6 +88,8 @@
             assert shown.pop("memory.capacity") > 0
             for holder in ("used", "commands", "requests", "answers", "writes", "uploads", "responses"):
                 assert shown.pop(f"memory.{holder}") == 0
+            assert {name for name in shown if name.startswith("closed.")} == {f"closed.{r.value}" for r in CloseReason}
+            assert not any(shown.pop(f"closed.{reason.value}") for reason in CloseReason)
             assert shown == {
                 "results.read.succeeded": 1,
                 "results.read.declined": 2,
@@ -100,6 +103,7 @@
                 "ejected": 0,
                 "accepted": 2,
                 "turned_away": 0,
+                "malformed": 0,
                 "evicted": 0,
                 "no_descriptor": 0,
                 "client_addresses": 1,
