Give each connection its turn to execute commands, and the event loop its time between

One connection that sent PING for 4 s got 105,000 answers a second, and others waited up to 4 s: all that it had sent was parsed and executed before any other connection was read, since up to 32 reads of 64 KB follow one another. 100 peers under ever new customers held up the loop by 2.5 s in the same way, each within its own limits.

Commands are now parsed 4 KB at a time, and executed for 0.5 ms by turns, for 5 ms in an iteration of the event loop; reading from a connection pauses until its turn. What is left when a turn is over waits behind all others.

--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -20,6 +20,7 @@
 from ingress.server.lingering_connection import LingeringConnection
 from ingress.server.request_receiver import RequestReceiver
 from ingress.server.response_slot import ResponseSlot
+from ingress.server.turn_scheduler import TurnScheduler
 from ingress.server.upload_reader import UploadReader
 
 log = logging.getLogger(__name__)
@@ -28,6 +29,7 @@
 MAX_MALFORMED = 16  # Malformed commands that are tolerated on a connection; the next one ends it.
 DRAIN_ACCEPT_DELAY = 0.2  # Seconds for the first request on a connection that is established during a drain.
 
+PARSED_BYTES = 4096  # Parsed at once, besides the rest of a string; what is left waits if the turn is over then.
 MIN_TRACKED_WRITE_BYTES = 4096  # Smaller writes are left out of the memory account while they wait for the kernel.
 
 TRY_AGAIN_LATER = b"-BUSY 1000\r\n"  # With the milliseconds after which the client may try again.
@@ -46,6 +48,7 @@
         draining_since: The time since which connections are closed once they are idle; None without a drain.
         budget: The memory budget of the process.
         known_addresses: The addresses that have sent requests.
+        turns: Gives each connection its turn to execute commands.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -56,6 +59,7 @@
     draining_since: float | None
     budget: MemoryBudget
     known_addresses: KnownAddresses
+    turns: TurnScheduler
 
     def read_buffer(self) -> memoryview:
         """Return the buffer for reads; the bytes read must be copied out before the following read."""
@@ -94,6 +98,7 @@
         has_sent_request: Whether a complete request has been received.
         read_count: How many times a part of the current command has been received.
         pipeline_full: Whether too many commands wait for a response.
+        waits_for_turn: Whether commands are left to be executed in the next turn.
         is_write_paused: Whether writing is paused because the client reads slowly.
         is_draining: Whether reading has stopped while the commands already received are answered.
         is_unlimited: Whether all received commands are executed at once, whatever waits for the client.
@@ -122,6 +127,7 @@
         self.has_sent_request = False
         self.read_count = 0
         self.pipeline_full = False
+        self.waits_for_turn = False
         self.is_write_paused = False
         self.is_draining = False
         self.is_unlimited = False
@@ -156,18 +162,39 @@
         """Process received bytes: commands and long bodies."""
         now = self.last_used_at = self.server.clock()
         self.received_at = now - self.server.read_delay(self.socket, now)
-        self._consume(self.unparsed + data if self.unparsed else data)
+        received = self.unparsed + data if self.unparsed else data
+        if self.server.turns.begin_turn():
+            self._consume(received)
+        else:
+            self.unparsed = received
+            self._wait_for_turn()
+            self._update_reading()
+
+    def take_turn(self) -> None:
+        """Execute commands until the turn is over; wait for another turn if some are left."""
+        self.waits_for_turn = False
+        self._resume_reading()
+
+    def _wait_for_turn(self) -> None:
+        self.waits_for_turn = True
+        self.server.turns.wait(self)
 
     def _consume(self, data: bytes) -> None:
         self.unparsed = b""
         while data and not self.is_closing:
             if self.upload is not None:
                 data = self._read_upload(self.upload, data)
-            elif self.scanner.long_argument_size:
-                self.unparsed = data  # The command of this body waits for the commands before it.
+            elif self.scanner.long_argument_size or self._is_execution_paused():
+                self.unparsed = data  # It waits for the commands before it.
                 return
             else:
-                data = self._read_commands(data)
+                size = self.scanner.string_bytes_left + PARSED_BYTES
+                data = self._read_commands(data[:size]) + data[size:]
+
+    def _is_execution_paused(self) -> bool:
+        """Report whether commands that are received now have to wait."""
+        is_paused = self.waits_for_turn or self.pipeline_full or self.is_write_paused
+        return is_paused and not self.is_unlimited
 
     def _read_commands(self, data: bytes) -> bytes:
         """Parse and execute commands; return the remaining bytes, which begin with a long body."""
@@ -244,7 +271,7 @@
     def _resume_reading(self) -> None:
         """Process the commands and bytes that were left waiting, and resume reading."""
         self._execute_parsed()
-        if self.unparsed:
+        if self.unparsed and not self.waits_for_turn:
             self._consume(self.unparsed)
             self._update_reading()
         if self.is_draining and self._is_finished():
@@ -260,6 +287,7 @@
         self._update_memory()
         is_blocked = (
             self.pipeline_full
+            or self.waits_for_turn
             or self.lacks_memory
             or self.is_write_paused
             or self.unparsed
@@ -365,11 +393,17 @@
         if len(self.slots) >= MAX_PIPELINED:
             self.pipeline_full = True
             return False
-        return not self.is_write_paused
+        if self.is_write_paused:
+            return False
+        if self.server.turns.is_turn_over() and self.parser.has_command():
+            self._wait_for_turn()
+            return False
+        return True
 
     def execute_all(self) -> None:
         """Execute all received commands now; for a handler that answers each of them at once."""
         self.is_unlimited = True
+        self.waits_for_turn = False
         self._resume_reading()
 
     def has_unexecuted(self) -> bool:
@@ -468,7 +502,7 @@
             self.close_gracefully()
         elif self.pipeline_full and len(self.slots) <= MAX_PIPELINED // 2:
             self.pipeline_full = False
-            self.loop.call_soon(self._resume_reading)
+            self._wait_for_turn()
 
     def _write(self, data: bytes) -> None:
         assert self.transport is not None
@@ -523,7 +557,7 @@
         self.update_unsent()
         self._update_responses()
         self._resume_source()
-        self.loop.call_soon(self._resume_reading)
+        self._wait_for_turn()
 
     # Draining
 
@@ -606,6 +640,7 @@
         self.slots = deque()
         self.upload = None
         self.memory.close()
+        self.server.turns.remove(self)
         for slot in slots:
             if slot.answer_data is None:
                 slot.drop()
--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -23,6 +23,7 @@
 from ingress.server.fair_shares import CONTENDED_SHARE, ConnectionShares
 from ingress.server.listener import Listener
 from ingress.server.request_receiver import RequestReceiver
+from ingress.server.turn_scheduler import TurnScheduler
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +65,7 @@
         malformed_count: The number of malformed commands since the start.
         rejected_count: The number of connections rejected since the start.
         closed_counts: The numbers of connections that this side has closed since the start, by reason.
+        turns: Gives each connection its turn to execute commands.
         evictor: Closes connections to make room for others.
         is_closed: Whether all connections end, and none is accepted any more.
         last_read_at: The time of the latest read on any connection.
@@ -90,6 +92,7 @@
         self.shares = ConnectionShares(settings.max_connections, settings.guaranteed_connections)
         self.evictor = Evictor(self.connections, self.shares, clock)
         self.known_addresses = self.evictor.known_addresses
+        self.turns = TurnScheduler(self.loop, clock)
         self.tasks: set[asyncio.Task[None]] = set()
         self.is_ready = True
         self.draining_since: float | None = None
@@ -309,6 +312,7 @@
             "no_descriptor": self.acceptor.exhausted_count,
             "client_addresses": len(self.shares.by_address),
             "malformed": self.malformed_count,
+            "deferred": self.turns.deferred_count,
             **closed,
             **self.loop_lag.metrics(),
         }
--- a/ingress/server/client_timeouts.py
+++ b/ingress/server/client_timeouts.py
@@ -69,7 +69,8 @@
     if due_since is None or now - due_since < COMMAND_TIMEOUT or connection.is_closing:
         return
     waits_for_memory = connection.lacks_memory and bool(connection.slots)
-    is_blocked = connection.pipeline_full or connection.is_write_paused or waits_for_memory
+    waits_for_turn = connection.waits_for_turn or connection.pipeline_full
+    is_blocked = waits_for_turn or connection.is_write_paused or waits_for_memory
     if is_blocked or connection.unparsed or connection.is_draining:
         connection.command_due_since = now
     elif connection.lacks_memory:
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -24,6 +24,7 @@
 # The metrics that have been added since the golden files were written; in the order of the answer to `show-stat`.
 ADDED_METRICS = (
     "app.malformed:|c",
+    "app.deferred:|c",
     "app.closed.malformed:|c",
     "app.closed.overdue:|c",
     "app.closed.memory:|c",
--- a/tests/test_net_metrics.py
+++ b/tests/test_net_metrics.py
@@ -104,6 +104,7 @@
                 "accepted": 2,
                 "turned_away": 0,
                 "malformed": 0,
+                "deferred": 0,
                 "evicted": 0,
                 "no_descriptor": 0,
                 "client_addresses": 1,
