--- a/ingress/process_group/handover.py
+++ b/ingress/process_group/handover.py
@@ -4,8 +4,8 @@
 
 import json
 import logging
+import os
 import socket
-import tempfile
 from pathlib import Path
 
 from ingress.process_group.errors import HandoverError
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 
+DEFAULT_SOCKET_FOLDER = "/tmp"  # where TMPDIR names no folder that can be written
 HANDOVER_TIMEOUT_S = 3.0  # applies to each socket operation, not to the handover as a whole
 READ_SIZE_BYTES = 1 << 16
 
@@ -37,9 +38,15 @@
         self.buffered = buffered
 
 
+def _socket_folder() -> Path:
+    """Return the folder for temporary files; `tempfile` would import the compression libraries into each process."""
+    candidates = (os.environ.get("TMPDIR", ""), DEFAULT_SOCKET_FOLDER)
+    return Path(next((path for path in candidates if path and os.access(path, os.W_OK | os.X_OK)), os.curdir))
+
+
 def socket_path(listen: tuple[str, int]) -> Path:
     """Return the path of the Unix socket at which the processes of the ingress on that address are reached."""
-    return Path(tempfile.gettempdir()) / f"ingress-{listen[0]}-{listen[1]}"
+    return _socket_folder() / f"ingress-{listen[0]}-{listen[1]}"
 
 
 def take_over(path: Path) -> ReceivedHandover | None:
--- a/ingress/runtime/memory_budget.py
+++ b/ingress/runtime/memory_budget.py
@@ -100,10 +100,11 @@
         self._on_available()
 
     def close(self) -> None:
-        """Release everything."""
+        """Release everything, and the callback: its object would stay in memory until a garbage collection."""
         for holder in Holder:
             self.resize(holder, 0)
         self.is_open = False
+        self._on_available = _ignore
         self._budget.waiting.pop(self, None)
 
 
--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -108,6 +108,33 @@
         write_window: The size of the write buffer in bytes above which writing is paused; 0 for the default.
     """
 
+    __slots__ = (
+        "command_due_since",
+        "has_sent_request",
+        "holds_responses",
+        "is_draining",
+        "is_unlimited",
+        "is_write_paused",
+        "lacks_memory",
+        "last_used_at",
+        "malformed_count",
+        "memory",
+        "parser",
+        "peer",
+        "pipeline_full",
+        "read_count",
+        "received_at",
+        "scanner",
+        "server",
+        "slots",
+        "unparsed",
+        "unsent_bytes",
+        "unsent_since",
+        "upload",
+        "waits_for_turn",
+        "write_window",
+    )
+
     def __init__(self, server: ConnectionOwner, sock: socket.socket, peer: str) -> None:
         super().__init__(server.loop, sock)
         self.server = server
@@ -472,13 +499,18 @@
     def _end_after(self, last_answer: bytes) -> None:
         """End the connection after the outstanding responses and one more; what else was received is dropped."""
         self.is_closing = True
-        self.parser = CommandParser()
-        self.scanner = self.parser.scanner
+        self._drop_unexecuted()
         slot = ResponseSlot(self)
         self.slots.append(slot)
         slot.answer(last_answer)
         self._update_reading()
 
+    def _drop_unexecuted(self) -> None:
+        """Drop what was received and not executed, with the buffers that hold it."""
+        self.parser = CommandParser()
+        self.scanner = self.parser.scanner
+        self.unparsed = b""
+
     # Writing
 
     def flush(self) -> None:
@@ -636,6 +668,7 @@
             transport.close()
         if self.linger_timer is not None:
             self.linger_timer.cancel()
+        self._drop_unexecuted()
         slots = self.slots
         self.slots = deque()
         self.upload = None
--- a/ingress/server/lingering_connection.py
+++ b/ingress/server/lingering_connection.py
@@ -29,6 +29,17 @@
         delivered_at: The time of the event loop at which that number last changed.
     """
 
+    __slots__ = (
+        "delivered_at",
+        "is_closing",
+        "linger_timer",
+        "lingered_bytes",
+        "loop",
+        "socket",
+        "transport",
+        "undelivered_bytes",
+    )
+
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         self.loop = loop
         self.socket = sock
