Limit the customers that a gateway tracks, and let those with full buckets make room

Requests under ever new customers cost about 600 bytes a customer for a minute, whatever their number: 300 peers took a process with a limit of 32 MB to 75 MB and one with 80 MB to 107 MB.

Beyond that, a new customer gets a place once another one has full buckets and nothing in flight, as it equals a new one then; up to 16 are looked at for a request. Otherwise its request is refused (memory): of a customer that has spent something, nothing may be forgotten, or it would be granted twice.

--- a/ingress/decisions/customers.py
+++ b/ingress/decisions/customers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from itertools import islice
 from math import inf
 
 from ingress.decisions.cluster import Cluster
@@ -12,11 +13,14 @@
 from ingress.decisions.settings import Plan, Settings
 from ingress.decisions.token_bucket import TokenBucket
 
+DROP_CANDIDATES = 16  # customers that are looked at to make room for a new one
+
 
 class CustomerQuotas:
-    """The quotas of the customers seen recently.
+    """The quotas of the customers seen recently, the one seen least recently first.
 
     Attributes:
+        max_customers: The maximum number of customers that are tracked; None for no maximum.
         plans: The plans, by name.
         by_name: The quotas of the customers, by customer id.
         unseen_ceilings: The ceiling bucket of a customer not seen yet, over all gateways, by plan name.
@@ -28,6 +32,7 @@
     def __init__(self, settings: Settings, cluster: Cluster) -> None:
         self.plans = {plan.name: plan for plan in settings.plans}
         self.by_name: dict[str, CustomerQuota] = {}
+        self.max_customers: int | None = None
         self.unseen_ceilings: dict[str, TokenBucket] = {}
         self.started_at: float | None = None
         self.usage_known_since: float | None = None
@@ -71,9 +76,26 @@
         if customer is None or customer.plan is not plan:
             customer = CustomerQuota(name, plan, gateway_count, now, self._new_customer_context(now, plan))
             self.by_name[name] = customer
+        elif self.max_customers is not None:
+            del self.by_name[name]  # so that it is the last one again
+            self.by_name[name] = customer
         customer.last_seen_at = now
         return customer
 
+    def has_room(self, now: float, name: str) -> bool:
+        """Return whether a customer is tracked already or may be, after others that no limit restricts are dropped.
+
+        One that no limit restricts equals a newly created one. Of the others, nothing may be forgotten: their units
+        would be granted twice.
+        """
+        if self.max_customers is None or name in self.by_name or len(self.by_name) < self.max_customers:
+            return True
+        for other_name in list(islice(self.by_name, DROP_CANDIDATES)):
+            other = self.by_name.pop(other_name)
+            if not other.may_be_dropped(now):
+                self.by_name[other_name] = other  # the next ones are tried before this one is tried again
+        return len(self.by_name) < self.max_customers
+
     def _new_customer_context(self, now: float, plan: Plan) -> NewCustomerContext:
         return NewCustomerContext(
             ceiling_level=self.unseen_ceiling_level(now, plan.name),
--- a/ingress/decisions/events.py
+++ b/ingress/decisions/events.py
@@ -160,6 +160,16 @@
     usage_persisted: bool = False
 
 
+class CustomerLimitChanged(Struct, frozen=True):
+    """The number of customers that may be tracked has changed, because of the memory of the process.
+
+    Attributes:
+        max_customers: The maximum number of customers.
+    """
+
+    max_customers: int
+
+
 class UsageUnknown(Struct, frozen=True):
     """Usage before the time `usage_known_since`, in seconds by the gateway's clock, is unknown.
 
@@ -209,6 +219,7 @@
     | QuotaUsage
     | HandoverState
     | UsageUnknown
+    | CustomerLimitChanged
     | HealthCheckEnded
     | PeerMessage
     | CounterReply
--- a/ingress/decisions/gateway.py
+++ b/ingress/decisions/gateway.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 
-from ingress.decisions.actions import Action, FailRequest, SetTimer, WatchEndpoints
+from ingress.decisions.actions import Action, FailRequest, RejectRequest, SetTimer, WatchEndpoints
 from ingress.decisions.admission import Admission, RejectionReason
 from ingress.decisions.attempts import InFlightRequest
 from ingress.decisions.cluster import Cluster
@@ -14,6 +14,7 @@
 from ingress.decisions.events import (
     AttemptEnded,
     ClientDisconnected,
+    CustomerLimitChanged,
     DrainRequested,
     EndpointListKind,
     EndpointsChanged,
@@ -151,6 +152,8 @@
                 self.process_state.change_group(event)
             case HandoverState():
                 self.actions += self.process_state.restore(now, event)
+            case CustomerLimitChanged(max_customers=max_customers):
+                self.quotas.max_customers = max_customers
             case UsageUnknown(usage_known_since=usage_known_since):
                 self.quotas.usage_known_since = usage_known_since
 
@@ -160,6 +163,10 @@
         if plan is None or request_class is None:  # the settings changed while the request was being received
             self.actions.append(FailRequest(event.request_id, RejectionReason.UNKNOWN_CLASS_OR_PLAN.value))
             return
+        if not self.quotas.has_room(now, event.customer):
+            retry_after = event.units / plan.rate if plan.rate else 0.0
+            self.actions.append(RejectRequest(event.request_id, retry_after, RejectionReason.MEMORY.value))
+            return
         customer = self.quotas.get(now, event.customer, plan, event.gateway_count)
         request = InFlightRequest.received(now, event, request_class, customer)
         self.forwarder.requests[event.request_id] = request
@@ -206,6 +213,10 @@
         """Return the endpoints by health, the ejections, health checks and invalid load reports, by metric name."""
         return self.cluster.outliers.metrics()
 
+    def customer_metrics(self) -> dict[str, int]:
+        """Return the number of tracked customers, by metric name."""
+        return {"customers": len(self.quotas.by_name)}
+
     def customer_states(self, now: float, names: Iterable[str]) -> list[CustomerState]:
         """Return the states of the customers among `names` that any limit restricts."""
         return self.quotas.states(now, names)
--- a/ingress/decisions/quota.py
+++ b/ingress/decisions/quota.py
@@ -140,10 +140,12 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the customer is idle and unrestricted, so that it can be dropped."""
+        return now - self.last_seen_at > CUSTOMER_IDLE_TIMEOUT_S and self.may_be_dropped(now)
+
+    def may_be_dropped(self, now: float) -> bool:
+        """Return whether the customer has no attempt in flight and is unrestricted."""
         concurrency = self.concurrency
-        unseen = now - self.last_seen_at > CUSTOMER_IDLE_TIMEOUT_S
-        in_flight = concurrency.in_flight or concurrency.in_flight_elsewhere
-        return unseen and not in_flight and self.is_unrestricted(now)
+        return not (concurrency.in_flight or concurrency.in_flight_elsewhere) and self.is_unrestricted(now)
 
     def state(self, now: float) -> CustomerState:
         """Return the state that another process of this gateway needs to continue."""
