Let the memory budget follow from the resident memory, and return what is unused

The budget assumed 20 MB for a process without requests and four fifths of the limit as usable. An idle process holds 28 MB resident, and what was freed stayed with the allocator, so a process with 32 MB was over its limit with 300 slow peers, and two processes of an upgrade held 84.8 MB of 80.

The program now measures its resident memory every 20 ms. What is counted may grow by half of what is left below the limit less a reserve of 1 MB or a fortieth, shared with the other processes, which report theirs. Unused memory is returned to the system when it exceeds 1 MB. While the reserve is in use, connections without a request in flight are closed, nothing more is read from those that hold something, and the log says so. Inside other programs, as in the tests, the budget is assumed as before.

app.resident.bytes, app.resident.limit and app.customers are new.

--- a/ingress/__main__.py
+++ b/ingress/__main__.py
@@ -19,6 +19,7 @@
 from ingress.process_group.errors import HandoverError
 from ingress.process_group.handover import ReceivedHandover, socket_path, take_over
 from ingress.runtime import logs
+from ingress.runtime.resident_memory import ResidentMemory
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -61,7 +62,9 @@
     signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(reload.set))
     if early_signals:
         reload.set()  # The file may have been changed after it was read.
-    ingress = Ingress(config, received_handover=received_handover, path=socket_path(config.listen))
+    ingress = Ingress(
+        config, received_handover=received_handover, path=socket_path(config.listen), memory=ResidentMemory()
+    )
     reload_task = loop.create_task(reload_on_event(path, ingress, reload))
     await ingress.run(stop)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/ingress/ingress.py
+++ b/ingress/ingress.py
@@ -28,8 +28,10 @@
 from ingress.runtime.clock import Clock, unix_clock
 from ingress.runtime.logs import INGRESS_LOG, REQUESTS
 from ingress.runtime.memory_budget import MemoryBudget
+from ingress.runtime.memory_meter import MemoryMeter
 from ingress.runtime.memory_monitor import MemoryMonitor
 from ingress.runtime.metrics import Metrics
+from ingress.runtime.resident_memory import ResidentMemory
 from ingress.server.client_server import ClientServer, ServerSettings
 from ingress.server.commands import CommandReader
 from ingress.server.request_handler import RequestHandler
@@ -48,6 +50,7 @@
         clock: Clock | None = None,
         received_handover: ReceivedHandover | None = None,
         path: Path | None = None,
+        memory: ResidentMemory | None = None,
     ) -> None:
         """Create the components and bind the listening sockets; `run` starts them.
 
@@ -56,6 +59,7 @@
             clock: Returns Unix time in seconds; the default never goes backwards.
             received_handover: The handover from the predecessor process, if there is one.
             path: The path of the socket at which a successor process finds this one; without it there is no handover.
+            memory: The memory of the process, from which its budget follows; None to assume it.
         """
         self.received_handover = received_handover
         self.clock = clock or unix_clock()
@@ -77,6 +81,9 @@
         self.process_group = ProcessGroup(self._local_process(), path)
         self.recovery = self._make_recovery(config)
         self.checkpoint_writer = self.recovery.writer
+        self.memory_meter: MemoryMeter | None = None
+        if memory is not None:
+            self.memory_meter = MemoryMeter(config.name, self.budget, memory, self.clients.make_memory, self.feed)
         self._connect_actions(config)
         self.admin_commands = self._make_admin_commands()
         self.admin_server: AdminServer | None = None
@@ -216,6 +223,7 @@
             metrics=self.metrics,
             metrics_sources=(
                 self.gateway.health,
+                self.gateway.customer_metrics,
                 self.discovery.metrics,
                 self.clients.metrics,
                 self.pool.counts,
@@ -249,6 +257,8 @@
         await self.process_group.open(self.received_handover)
         if self.checkpoint_writer is not None:
             self.checkpoint_writer.start()
+        if self.memory_meter is not None:
+            self.memory_meter.start()
         discovery_task = self.loop.create_task(self.discovery.run())
         INGRESS_LOG.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
@@ -273,6 +283,8 @@
             self.changes.adopt(handover.documents)
 
     async def _close(self) -> None:
+        if self.memory_meter is not None:
+            self.memory_meter.close()
         self.pool.close()
         if self.checkpoint_writer is not None:
             membership = self.process_group.membership
--- a/ingress/observability/exporter.py
+++ b/ingress/observability/exporter.py
@@ -58,6 +58,8 @@
     FamilySpec(r"app\.turned_away", "turned_away_connections", "", 1, "Connections of clients turned away."),
     FamilySpec(r"app\.evicted", "evicted_connections", "", 1, "Connections of clients closed for other ones."),
     FamilySpec(r"app\.malformed", "malformed_commands", "", 1, "Malformed commands of clients."),
+    FamilySpec(r"app\.customers", "customers", "", 1, "Customers whose quotas are tracked."),
+    FamilySpec(r"app\.resident\.(.+)", "resident_memory_bytes", "kind", 1, "Resident memory, and the limit."),
     FamilySpec(r"app\.deferred", "deferred_turns", "", 1, "Turns for which connections of clients had to wait."),
     FamilySpec(r"app\.closed\.(.+)", "closed_connections", "reason", 1, "Connections of clients that were closed."),
     FamilySpec(r"app\.handshakes", "handshakes", "", 1, "Connections opened to schedule servers."),
--- a/ingress/process_group/process_group.py
+++ b/ingress/process_group/process_group.py
@@ -328,7 +328,7 @@
             ready=True,
             ending=self.local.is_ending(),
             config_version=self.local.config_version(),
-            memory=self.local.memory.used(),
+            memory=self.local.memory.reported_use(),
         )
         return self.membership.heartbeat(now, state)
 
--- a/ingress/runtime/memory_budget.py
+++ b/ingress/runtime/memory_budget.py
@@ -4,6 +4,9 @@
 it when the connection is closed. While less than half of the budget is in use, an account may grow freely. Above that
 it may grow up to its guaranteed share, an even part of the other half, so that no connection can starve the others.
 What has arrived is always counted, also beyond the budget; connections then stop reading until there is room.
+
+The size of the budget follows from the resident memory of the process, which `MemoryMeter` reports: what is counted may
+grow by a part of what is left below the limit. Only where the system does not report it is the size assumed.
 """
 
 from __future__ import annotations
@@ -11,9 +14,13 @@
 from collections.abc import Callable
 from enum import IntEnum
 
-USABLE_RATIO = 0.8  # the usable part of the limit: allocators hold more memory than is in use
-PROCESS_BASE_BYTES = 20 << 20  # the memory of a process without requests
-MIN_CAPACITY_BYTES = 2 << 20  # granted even if the limit leaves less
+USABLE_RATIO = 0.8  # the usable part of a limit without a measurement: allocators hold more memory than is in use
+PROCESS_BASE_BYTES = 20 << 20  # the part of the memory of each process that the reports to other processes leave out
+MIN_CAPACITY_BYTES = 2 << 20  # granted without a measurement even if the limit leaves less
+MIN_MEASURED_CAPACITY_BYTES = 128 << 10  # granted with one even if nothing is left; enough for some requests
+MIN_RESERVE_BYTES = 1 << 20  # kept free for what is not counted, and for what grows between two measurements
+RESERVE_DIVISOR = 40  # the reserve is at least the limit divided by this
+GROWTH_RATIO = 2  # the resident bytes that a counted byte may take
 MAX_STREAM_WINDOW = 64 << 10  # the largest window of a streamed value in bytes
 MIN_STREAM_WINDOW = 2 << 10  # the smallest window in bytes, used when memory is short
 WINDOWS_PER_STREAM = 2
@@ -84,6 +91,8 @@
 
     def may_read(self) -> bool:
         """Report whether more may be read from the peer; a peer that holds almost nothing may always send a little."""
+        if self._budget.is_short():
+            return not self.total
         return self.total < MIN_GUARANTEED_BYTES or self._budget.may_read(MIN_READ_BYTES, self.total)
 
     def read_size(self) -> int:
@@ -115,6 +124,7 @@
 
     Attributes:
         limit: The limit of all processes of the ingress together.
+        resident: The resident memory of this process; None without a measurement.
         process_count: The number of processes of the ingress.
         used_elsewhere: The memory that the other processes use.
         max_accounts: The number of accounts that share the guaranteed half.
@@ -126,6 +136,7 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
+        self.resident: int | None = None
         self.process_count = 1
         self.used_elsewhere = 0
         self.max_accounts = 1
@@ -156,6 +167,30 @@
         self._update_capacity()
         self._notify_waiting()
 
+    def set_resident(self, resident: int) -> None:
+        """Apply the resident memory of this process."""
+        self.resident = resident
+        self._update_capacity()
+        if self.waiting:
+            self._notify_waiting()
+
+    def free(self) -> int | None:
+        """Return by how much all processes together may grow; negative above that, None without a measurement."""
+        if self.resident is None:
+            return None
+        reserve = max(MIN_RESERVE_BYTES, self.limit // RESERVE_DIVISOR)
+        elsewhere = self.used_elsewhere + PROCESS_BASE_BYTES * (self.process_count - 1)
+        return self.limit - reserve - self.resident - elsewhere
+
+    def is_short(self) -> bool:
+        """Report whether the reserve is in use, so that connections have to be closed."""
+        free = self.free()
+        return free is not None and free < 0
+
+    def reported_use(self) -> int:
+        """Return what the other processes are told: the use of this process above PROCESS_BASE_BYTES."""
+        return self.used() if self.resident is None else max(self.used(), self.resident - PROCESS_BASE_BYTES)
+
     def capacity(self) -> int:
         """Return how many bytes this process may use."""
         return self._capacity
@@ -165,6 +200,11 @@
 
         What no process uses is divided evenly among them until the next exchange, so that they don't use it twice.
         """
+        free = self.free()
+        if free is not None:
+            growth = max(0, free) // (GROWTH_RATIO * self.process_count)
+            self._capacity = max(MIN_MEASURED_CAPACITY_BYTES, self._used + growth)
+            return
         usable = int(self.limit * USABLE_RATIO) - PROCESS_BASE_BYTES * self.process_count
         own = self._used_at_exchange if self.process_count > 1 else 0
         unused = max(0, usable - self.used_elsewhere - own)
@@ -205,7 +245,8 @@
     def metrics(self) -> dict[str, int]:
         """Return the use by holder, and the capacity, in bytes."""
         by_holder = {f"memory.{holder.name.lower()}": self.sizes[holder] for holder in Holder}
-        return {"memory.used": self.used(), "memory.capacity": self.capacity()} | by_holder
+        measured = {"resident.bytes": self.resident or 0, "resident.limit": self.limit}
+        return {"memory.used": self.used(), "memory.capacity": self.capacity()} | by_holder | measured
 
     def _stream_count(self) -> int:
         return self.streaming_responses + self.streaming_uploads
--- a/ingress/server/client_server.py
+++ b/ingress/server/client_server.py
@@ -15,7 +15,7 @@
 from ingress.runtime.memory_budget import MAX_STREAM_WINDOW, MemoryBudget
 from ingress.runtime.sockets import seconds_since_last_receive
 from ingress.server.client_connection import ClientConnection
-from ingress.server.client_timeouts import check_timeouts, has_expired
+from ingress.server.client_timeouts import IDLE_TIMEOUT, check_timeouts, has_expired
 from ingress.server.close_reason import CloseReason
 from ingress.server.commands import CommandReader
 from ingress.server.eviction import EvictionRank, Occupancy
@@ -32,6 +32,7 @@
 TLS_HANDSHAKE_TIMEOUT = 2.0  # Seconds for the TLS handshake of a client.
 READ_GAP_THRESHOLD = 0.02  # Seconds between reads above which received bytes may have waited in the socket.
 MAX_BACKLOG_READ_TIME = 10.0  # Seconds that reading the backlog after CPU starvation takes at most.
+CLOSED_FOR_MEMORY = 8  # Connections closed between two measurements of the memory.
 LOGGED_MALFORMED = 50  # The first malformed commands are each logged.
 LOGGED_MALFORMED_STEP = 1000  # Of the later malformed commands, one in so many is logged.
 TOO_MANY_CONNECTIONS = b"-ERR too many connections from this address\r\n"
@@ -229,6 +230,13 @@
         """Return how many connections have to be closed for those that wait to be accepted."""
         return self.evictor.kept_count() + self.acceptor.waiting_count() - self.max_connections
 
+    def make_memory(self) -> None:
+        """Close some connections because there is no memory for them; not those of clients that use them."""
+        now = self.clock()
+        self.evictor.evict(
+            CLOSED_FOR_MEMORY, is_candidate=lambda one: not is_idle(one) or now - one.last_used_at > IDLE_TIMEOUT
+        )
+
     def _release_spare_places(self) -> None:
         """Close connections of strangers, as the process that accepts gets the places that this one does not use."""
         surplus_count = self.evictor.kept_count() - int(CONTENDED_SHARE * self.max_connections)
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -23,6 +23,7 @@
 
 # The metrics that have been added since the golden files were written; in the order of the answer to `show-stat`.
 ADDED_METRICS = (
+    "app.customers:|g",
     "app.malformed:|c",
     "app.deferred:|c",
     "app.closed.malformed:|c",
@@ -31,6 +32,8 @@
     "app.closed.stalled:|c",
     "app.closed.idle:|c",
     "app.closed.drained:|c",
+    "app.resident.bytes:|g",
+    "app.resident.limit:|g",
 )
 COMMANDS = (b"ready", b"show-stat", b"drain", b"resume", b"revert", b"show-members", b"show-config", b"colour", b"")
 
