Keep the beginning of a line of the text log, and put its time at the end

test_an_invalid_file_at_sighup_is_logged_in_one_line_and_the_active_configuration_stays failed in a run of the whole suite: lines begin with their level, and so do those that readers of logs expect.

--- a/ingress/runtime/logs.py
+++ b/ingress/runtime/logs.py
@@ -9,7 +9,7 @@
 
 KINDS = ("", "json", "requests")  # the valid values of EDGE_LOG
 LOGGED_FAILURE_COUNTS = (0, 10, 100, 1000)  # a repeated failure is logged after this many consecutive earlier ones
-TEXT_FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)s %(name)s: %(message)s"
+TEXT_FORMAT = "%(levelname)s %(name)s: %(message)s at=%(asctime)s.%(msecs)03dZ"  # log readers match the beginning
 TEXT_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"  # in UTC
 TIME_DIGITS = 6  # decimal places of the time of a record: microseconds
 REQUESTS = logging.getLogger("ingress.requests")  # its records have an attribute `fields`
