Let an id of a write run once, also when its client has left or at an upgrade

Nothing remembered an id beyond its connection.

The decisions remember what they have sent (SentIds, for 60 s, at most as many as customers may be tracked); the same id is answered as failed, never as refused, as it may have run. An id whose attempts surely never ran may come again. It is told to the other processes before its attempt starts, and to a successor with the handover. A process beside another one holds a write for 10 ms, in which that message arrives. The id is kept as a digest of 12 bytes, whatever a client sends.

--- a/ingress/action_performer.py
+++ b/ingress/action_performer.py
@@ -19,6 +19,7 @@
     RejectRequest,
     SetReadiness,
     SetTimer,
+    ShareSentId,
     ShareUsage,
     StartAttempt,
     StartHealthCheck,
@@ -41,6 +42,9 @@
     def usage_spent(self, usage: QuotaUsage) -> None:
         """Send the usage that this process has spent."""
 
+    def request_id_sent(self, request_key: str) -> None:
+        """Notify the others that this process sends a request that may not be repeated."""
+
 
 class UsageRecorder(Protocol):
     """Records quota usage in the checkpoint."""
@@ -85,6 +89,8 @@
                 self.loop.call_later(max(0.0, delay), self.parts.runner.feed, TimerFired(token))
             case ShareUsage(usage=usage):
                 self._share_usage(usage)
+            case ShareSentId(request_key=request_key):
+                self.parts.usage_sharer.request_id_sent(request_key)
             case CancelAttempt(request_id=request_id, attempt=attempt):
                 self.parts.requests.cancel_attempt(request_id, attempt)
             case _:
--- a/ingress/decisions/actions.py
+++ b/ingress/decisions/actions.py
@@ -25,6 +25,12 @@
     start_within: float = 0.0
 
 
+class ShareSentId(Struct, frozen=True):
+    """Notify the other processes of this gateway that a request which may not be repeated is sent now."""
+
+    request_key: str
+
+
 class CancelAttempt(Struct, frozen=True):
     """Cancel one attempt of a request."""
 
@@ -131,5 +137,6 @@
     | SetReadiness
     | CloseIdleClients
     | ShareUsage
+    | ShareSentId
     | LogMessage
 )
--- a/ingress/decisions/admission.py
+++ b/ingress/decisions/admission.py
@@ -29,8 +29,9 @@
     """The reason why a request gets no answer from an endpoint; docs/glossary.md explains the values.
 
     The values appear in logs (`reason`) and metrics (`turned_down`).  MEMORY also covers a process that has reached its
-    maximum number of requests.  `Admission` does not return the last two: ATTEMPTS_FAILED is used after the last
-    attempt has failed, and UNKNOWN_CLASS_OR_PLAN after a change of the settings.
+    maximum number of requests.  `Admission` does not return the last three: ATTEMPTS_FAILED is used after the
+    last attempt has failed, UNKNOWN_CLASS_OR_PLAN after a change of the settings, and REPEATED_ID for a request that
+    may have run already, whose client is not told that a retry is safe.
     """
 
     MEMORY = "memory"
@@ -43,6 +44,7 @@
     NO_ENDPOINT = "servers"
     ATTEMPTS_FAILED = "attempt"
     UNKNOWN_CLASS_OR_PLAN = "unknown"
+    REPEATED_ID = "repeated"
 
 
 class Admission:
--- a/ingress/decisions/attempts.py
+++ b/ingress/decisions/attempts.py
@@ -28,6 +28,7 @@
         units: The units that it takes from the quota.
         deadline: The time in seconds when the client gives up, unless the response has started.
         is_chunked: Whether its body is sent in chunks.
+        request_key: The customer's own id of the request; empty if it may be repeated.
         upload_started: Whether chunks of its body have been sent to an endpoint.
         within_quota: Whether its units are taken from the slice.
         misses_objective: Whether the answer would come after the latency objective.
@@ -47,6 +48,7 @@
     units: float
     deadline: float
     is_chunked: bool
+    request_key: str = ""
     upload_started: bool = False
     within_quota: bool = False
     misses_objective: bool = False
@@ -71,6 +73,7 @@
             units=event.units,
             deadline=now + event.time_left - event.time_waited,
             is_chunked=event.is_chunked,
+            request_key=event.request_key if request_class.idempotency is not Idempotency.IDEMPOTENT else "",
         )
 
     def add_attempt(self, endpoint: TrackedEndpoint, now: float) -> AttemptId:
--- a/ingress/decisions/events.py
+++ b/ingress/decisions/events.py
@@ -47,6 +47,7 @@
         memory_available: Whether this process has memory for one more request.
         is_chunked: Whether it has a long body that has yet to arrive, and is forwarded chunk by chunk.
         time_waited: The seconds that had passed before this process could execute the request.
+        request_key: The customer's own id of the request in a short form; empty if the same request can't come again.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     memory_available: bool = True
     is_chunked: bool = False
     time_waited: float = 0.0
+    request_key: str = ""
 
 
 class UploadStarted(Struct, frozen=True):
@@ -160,6 +162,12 @@
     usage_persisted: bool = False
 
 
+class RequestIdSent(Struct, frozen=True):
+    """Another process of this gateway has sent a request that may not be repeated."""
+
+    request_key: str
+
+
 class CustomerLimitChanged(Struct, frozen=True):
     """The number of customers that may be tracked has changed, because of the memory of the process.
 
@@ -220,6 +228,7 @@
     | HandoverState
     | UsageUnknown
     | CustomerLimitChanged
+    | RequestIdSent
     | HealthCheckEnded
     | PeerMessage
     | CounterReply
--- a/ingress/decisions/forwarding.py
+++ b/ingress/decisions/forwarding.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from ingress.decisions.actions import Action, CancelAttempt, FailRequest, RejectRequest, ShareUsage, StartAttempt
+from ingress.decisions.actions import (
+    Action,
+    CancelAttempt,
+    FailRequest,
+    RejectRequest,
+    ShareSentId,
+    ShareUsage,
+    StartAttempt,
+)
 from ingress.decisions.admission import RejectionReason
 from ingress.decisions.attempt_outcomes import OutcomeRecorder
 from ingress.decisions.attempts import InFlightRequest
@@ -15,6 +23,7 @@
 from ingress.decisions.hedging import Hedging
 from ingress.decisions.process_state import ProcessState
 from ingress.decisions.retry import RetryBudget
+from ingress.decisions.sent_ids import SentIds
 from ingress.decisions.settings import Settings
 
 MIN_ATTEMPT_TIMEOUT_S = 1e-6
@@ -29,6 +38,7 @@
         attempts: The requests of all attempts in flight, including requests that already have their final answer.
         retry_budget: The budget that limits retries and hedges.
         hedging: The schedule of hedges.
+        sent_ids: The ids of requests that may not be repeated.
     """
 
     def __init__(
@@ -39,6 +49,7 @@
         self.attempts: dict[AttemptId, InFlightRequest] = {}
         self.retry_budget = RetryBudget(cluster)
         self.hedging = Hedging()
+        self.sent_ids = SentIds()
         self._settings = settings
         self._cluster = cluster
         self._customers = customers
@@ -75,6 +86,10 @@
         """Spend the customer's units, add to the retry budget, and schedule a hedge."""
         request.attempted = True
         self.retry_budget.deposit()
+        if request.request_key:
+            self.sent_ids.add(now, request.request_key)
+            if self._process_state.group.other_processes:
+                self.actions.append(ShareSentId(request.request_key))
         if request.plan.ceiling_rate:
             request.customer.ceiling.take(request.units)
         if request.within_quota:
@@ -107,6 +122,7 @@
         """Give the final answer of this gateway: a rejection if the client may safely retry, a failure otherwise."""
         request.finished = True
         self.requests.pop(request.id, None)
+        self._forget_unsent(request)
         if request.may_reject():
             # This is the rate of all gateways together, because the client may retry through any of them.
             retry_after = request.units / request.plan.rate if request.plan.rate else 0.0
@@ -114,6 +130,11 @@
         else:
             self.actions.append(FailRequest(request.id, reason.value))
 
+    def _forget_unsent(self, request: InFlightRequest) -> None:
+        """Let the id of a request come again if none of its attempts can have run."""
+        if request.request_key and not request.may_have_run:
+            self.sent_ids.forget(request.request_key)
+
     def client_disconnected(self, request_id: str) -> None:
         """Drop a request whose client is no longer waiting; attempts without a response continue until they end."""
         if (request := self.requests.pop(request_id, None)) is not None:
@@ -164,6 +185,7 @@
         if event.request_finished or request.finished:
             request.finished = True
             self.requests.pop(request.id, None)
+            self._forget_unsent(request)
         elif not request.in_flight and not self._retry(now, request):
             self.finish_without_response(request, RejectionReason.ATTEMPTS_FAILED)
 
--- a/ingress/decisions/gateway.py
+++ b/ingress/decisions/gateway.py
@@ -21,6 +21,7 @@
     Event,
     HealthCheckEnded,
     ProcessGroupChanged,
+    RequestIdSent,
     RequestReceived,
     ResponseStarted,
     SettingsChanged,
@@ -154,6 +155,9 @@
                 self.actions += self.process_state.restore(now, event)
             case CustomerLimitChanged(max_customers=max_customers):
                 self.quotas.max_customers = max_customers
+                self.forwarder.sent_ids.max_ids = max_customers
+            case RequestIdSent(request_key=request_key):
+                self.forwarder.sent_ids.add(now, request_key)
             case UsageUnknown(usage_known_since=usage_known_since):
                 self.quotas.usage_known_since = usage_known_since
 
@@ -163,6 +167,9 @@
         if plan is None or request_class is None:  # the settings changed while the request was being received
             self.actions.append(FailRequest(event.request_id, RejectionReason.UNKNOWN_CLASS_OR_PLAN.value))
             return
+        if event.request_key in self.forwarder.sent_ids:
+            self.actions.append(FailRequest(event.request_id, RejectionReason.REPEATED_ID.value))
+            return
         if not self.quotas.has_room(now, event.customer):
             retry_after = event.units / plan.rate if plan.rate else 0.0
             self.actions.append(RejectRequest(event.request_id, retry_after, RejectionReason.MEMORY.value))
--- a/ingress/ingress.py
+++ b/ingress/ingress.py
@@ -164,6 +164,7 @@
             connection_limits=self._connection_limits,
             config_version=lambda: self.changes.versions.current.number,
             handover_message=self._handover_message,
+            sent_ids=lambda: tuple(self.gateway.forwarder.sent_ids),
         )
 
     def _make_recovery(self, config: Config) -> Recovery:
@@ -213,6 +214,7 @@
             clients_may_close=self.shutdown.clients_may_close,
         )
         self.runner.requests = self.requests
+        self.requests.has_other_processes = lambda: self.gateway.process_state.group.other_processes > 0
         self.runner.perform = ActionPerformer(parts).perform
 
     def _make_admin_commands(self) -> AdminCommands:
--- a/ingress/process_group/link.py
+++ b/ingress/process_group/link.py
@@ -33,6 +33,9 @@
     def link_made(self, link: Link) -> None:
         """Handle a new link to a process that already has its state from elsewhere."""
 
+    def successor_linked(self, link: Link) -> None:
+        """Handle a new link to a process that has just been sent the handover message."""
+
     def link_lost(self, link: Link) -> None:
         """Handle the loss of a link, because the other process has ended or cannot be reached."""
 
@@ -104,6 +107,8 @@
         delegate.links_changed()
         if self.is_additional:
             delegate.link_made(self)
+        elif self.is_successor:
+            delegate.successor_linked(self)
 
     def _hand_over(self, listener: socket.socket | None, message: HandoverMessage) -> None:
         assert self.transport is not None
--- a/ingress/process_group/peer_messages.py
+++ b/ingress/process_group/peer_messages.py
@@ -15,6 +15,8 @@
 from ingress.process_group.member_record import MemberRecord, read_member_record
 from ingress.process_group.usage_ledger import UsageTotals, read_usage_totals
 
+MAX_REQUEST_KEY_CHARACTERS = 64
+
 
 class Message(Protocol):
     """A message that can be sent over a link."""
@@ -73,6 +75,20 @@
     usage: QuotaUsage
 
 
+class SentIdsMessage(Struct, frozen=True):
+    """Reports requests that may not be repeated and that the sender or another process has sent.
+
+    Attributes:
+        request_keys: The ids of the requests, as in `RequestIdSent`.
+    """
+
+    request_keys: tuple[str, ...]
+
+    def to_message(self) -> dict[str, Any]:
+        """Return the message as a JSON object."""
+        return {"sent": list(self.request_keys)}
+
+
 class DrainMessage(Struct, frozen=True):
     """Reports that an operator has drained the ingress or ended the drain.
 
@@ -148,6 +164,7 @@
     ServingMessage
     | UsageTotalsMessage
     | UsageIncrementMessage
+    | SentIdsMessage
     | DrainMessage
     | ChangeMessage
     | MemberMessage
@@ -173,6 +190,8 @@
             found = UsageTotalsMessage(read_usage_totals(totals))
         case {"spent": increment}:
             found = UsageIncrementMessage(QuotaUsage(*increment))
+        case {"sent": request_keys}:
+            found = SentIdsMessage(tuple(str(key)[:MAX_REQUEST_KEY_CHARACTERS] for key in request_keys))
         case {"drain": enabled, "at": requested_at}:
             found = DrainMessage(bool(enabled), float(requested_at))
         case {"drain": enabled}:
--- a/ingress/process_group/process_group.py
+++ b/ingress/process_group/process_group.py
@@ -16,7 +16,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ingress.decisions.events import DrainRequested, Event, ProcessGroupChanged
+from ingress.decisions.events import DrainRequested, Event, ProcessGroupChanged, RequestIdSent
 from ingress.decisions.handover_state import QuotaUsage
 from ingress.process_group.agreement import Agreement
 from ingress.process_group.handover import ReceivedHandover
@@ -31,6 +31,7 @@
     MemberMessage,
     PeerMessage,
     ResourcesMessage,
+    SentIdsMessage,
     ServingMessage,
     UsageIncrementMessage,
     UsageMessage,
@@ -67,6 +68,7 @@
         connection_limits: Returns the connections that all processes together may have open.
         config_version: Returns the version of the current configuration.
         handover_message: Returns the state for a successor, without the part of the process group.
+        sent_ids: Returns the ids of the requests that may not be repeated and have been sent.
     """
 
     name: str
@@ -82,6 +84,7 @@
     connection_limits: Callable[[], ConnectionCounts]
     config_version: Callable[[], int]
     handover_message: Callable[[], HandoverMessage]
+    sent_ids: Callable[[], tuple[str, ...]] = tuple
 
 
 class ProcessGroup:
@@ -200,12 +203,21 @@
         self._apply_limits()
 
     def link_made(self, link: Link) -> None:
-        """Send the usage totals and the drain state, which the other process may have missed."""
+        """Send the usage totals, the sent ids and the drain state, which the other process may have missed."""
+        self._send_sent_ids(link)
         for totals in self.ledger.all_totals():
             link.send(UsageTotalsMessage(totals))
         if self.last_drain_at:
             link.send(DrainMessage(self.local.is_draining(), self.last_drain_at))
 
+    def successor_linked(self, link: Link) -> None:
+        """Send the sent ids, which the handover message does not contain."""
+        self._send_sent_ids(link)
+
+    def _send_sent_ids(self, link: Link) -> None:
+        if request_keys := self.local.sent_ids():
+            link.send(SentIdsMessage(request_keys))
+
     def link_lost(self, link: Link) -> None:
         """Handle the loss of a link, because the other process has ended or cannot be reached."""
         self.local.agreement.link_lost(link)
@@ -218,12 +230,8 @@
         match message:
             case ServingMessage():
                 self._successor_serves(link)
-            case UsageTotalsMessage(totals=totals):
-                for usage in self.ledger.receive(totals):
-                    self._usage_received(usage, totals, link)
-            case UsageIncrementMessage(usage=usage):
-                # The sender keeps no totals, so its usage is counted in the totals of this process.
-                self._usage_received(usage, self.ledger.record(usage), link)
+            case UsageTotalsMessage() | UsageIncrementMessage() | SentIdsMessage():
+                self._request_message_received(link, message)
             case DrainMessage(enabled=enabled, requested_at=requested_at):
                 if requested_at is not None or enabled is not self.local.is_draining():
                     self.drain_all(enabled, requested_at, link)
@@ -235,6 +243,21 @@
                 link.reported_usage = in_use
                 self._apply_limits()
 
+    def _request_message_received(
+        self, link: Link, message: UsageTotalsMessage | UsageIncrementMessage | SentIdsMessage
+    ) -> None:
+        """Handle a message about requests that another process has sent."""
+        match message:
+            case UsageTotalsMessage(totals=totals):
+                for usage in self.ledger.receive(totals):
+                    self._usage_received(usage, totals, link)
+            case UsageIncrementMessage(usage=usage):
+                # The sender keeps no totals, so its usage is counted in the totals of this process.
+                self._usage_received(usage, self.ledger.record(usage), link)
+            case SentIdsMessage(request_keys=request_keys):
+                for request_key in request_keys:
+                    self.local.feed(RequestIdSent(request_key))
+
     def _successor_serves(self, link: Link) -> None:
         self.successor = link
         self.local.clients.set_accepting(False)
@@ -266,6 +289,11 @@
         """Report quota that this process has spent to the others, which subtract it from their buckets."""
         self._broadcast_usage(usage, self.ledger.record(usage))
 
+    def request_id_sent(self, request_key: str) -> None:
+        """Notify the others that this process sends a request that may not be repeated."""
+        if self.links is not None:
+            self.links.broadcast(SentIdsMessage((request_key,)))
+
     def _usage_received(self, usage: QuotaUsage, totals: UsageTotals, sender: Link) -> None:
         self.local.feed(usage)
         self.local.persist_usage(usage)
--- a/ingress/server/pending_request.py
+++ b/ingress/server/pending_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 
 from ingress.server.commands import Command
 from ingress.server.response_slot import ResponseSlot, ResponseWriter
@@ -16,6 +17,7 @@
 # divisor before it, whichever is less.
 ANSWER_MARGIN = 0.005
 ANSWER_MARGIN_DIVISOR = 20
+REQUEST_KEY_BYTES = 12
 REQUEST_OVERHEAD_BYTES = 2048  # Memory that a request in flight takes in addition to its command.
 
 
@@ -55,6 +57,7 @@
         attempt_count: The number of attempts so far.
         is_answered: Whether the response is complete or the client no longer waits for it.
         rejection_reason: The reason for the gateway's own final answer; empty if it gave none.
+        memory_available: Whether there was room for the request when it was received.
         memory_bytes: The memory that the request takes from the budget.
         attempts_in_flight: The attempts that have not ended.
         streaming_attempt: The attempt whose value is passed to the client in chunks; it owns the response.
@@ -70,6 +73,7 @@
         "deadline",
         "deadline_timer",
         "is_answered",
+        "memory_available",
         "memory_bytes",
         "rejection_reason",
         "request_id",
@@ -87,6 +91,7 @@
         self.attempt_count = 0
         self.is_answered = False
         self.rejection_reason = ""
+        self.memory_available = True
         self.memory_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, command.arguments))
         self.attempts_in_flight: set[Attempt] = set()
         self.streaming_attempt: Attempt | None = None
@@ -109,3 +114,11 @@
 def decision_timeout(command: Command) -> float:
     """Return the seconds that the gateway's decisions may take: the client's timeout less a margin."""
     return command.timeout - min(DECISION_MARGIN, command.timeout / DECISION_MARGIN_DIVISOR)
+
+
+def request_key(command: Command) -> str:
+    """Return a short key for the id that the customer has given to a write; empty for a read, which may be repeated."""
+    if not command.is_write:
+        return ""
+    name = command.arguments[1] + command.client_id
+    return hashlib.blake2b(name, digest_size=REQUEST_KEY_BYTES).hexdigest()
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -27,7 +27,7 @@
 from ingress.runtime.memory_budget import Holder
 from ingress.runtime.metrics import RequestResult
 from ingress.server.commands import Command
-from ingress.server.pending_request import PendingRequest, Upload, decision_timeout
+from ingress.server.pending_request import PendingRequest, Upload, decision_timeout, request_key
 from ingress.server.request_log import log_attempt, log_request
 from ingress.server.response_slot import ResponseSlot
 from ingress.upstream.attempt import Attempt
@@ -38,6 +38,7 @@
 
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
+OTHER_PROCESS_DELAY_S = 0.01  # in which another process tells that it has sent the same request
 VALUE_SIZE_WEIGHT = 0.1  # of the latest value in the moving average of the sizes
 
 
@@ -65,6 +66,7 @@
         in_flight: The requests in flight by request id.
         attempts_in_flight: The attempts in flight by request id and number of the attempt.
         received_count: The number of requests received since the start.
+        has_other_processes: Reports whether another process of this ingress serves as well.
         is_stopped: Whether requests are refused at once, because no time is left to forward them.
         mean_value_bytes: The moving average of the size of the values that are not forwarded in chunks.
     """
@@ -80,6 +82,7 @@
         self.in_flight: dict[str, PendingRequest] = {}
         self.attempts_in_flight: dict[tuple[str, int], Attempt] = {}
         self.received_count = 0
+        self.has_other_processes: Callable[[], bool] = lambda: False
         self.is_stopped = False
         self.mean_value_bytes = 0.0
 
@@ -93,19 +96,27 @@
         slot.request_id = request_id
         request = PendingRequest(request_id, slot, command, received_at + command.timeout)
         self.in_flight[request_id] = request
-        has_capacity = len(self.in_flight) <= self.limits.max_in_flight
         if not slot.connection.is_next(slot):
             request.memory_bytes += int(self.mean_value_bytes)  # The value will have to wait.
-        memory_available = has_capacity and slot.connection.memory.fits(request.memory_bytes)
+        request.memory_available = slot.connection.memory.fits(request.memory_bytes)
         slot.connection.memory.add(Holder.REQUESTS, request.memory_bytes)
         if request.upload is not None:
             self.budget.streaming_uploads += 1
         if self.is_stopped:
             self.reject(request_id, 0.0, RejectionReason.DEADLINE.value)
+        elif command.is_write and request.upload is None and self.has_other_processes():
+            self.loop.call_later(OTHER_PROCESS_DELAY_S, self._admit, request, received_at)
+        else:
+            self._admit(request, received_at)
+
+    def _admit(self, request: PendingRequest, received_at: float) -> None:
+        """Pass a request to the gateway, unless its client has left or it was answered meanwhile."""
+        if request.is_answered:
             return
+        command = request.command
         self.feed(
             RequestReceived(
-                request_id,
+                request.request_id,
                 command.request_class,
                 command.plan,
                 command.customer,
@@ -115,9 +126,10 @@
                 command.first_gateway,
                 command.is_retry,
                 command.is_write,
-                memory_available,
+                request.memory_available and len(self.in_flight) <= self.limits.max_in_flight,
                 request.upload is not None,
                 self.clock() - received_at,
+                request_key(command),
             )
         )
         if request.upload is None and not request.is_answered:
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -220,7 +220,7 @@
     events: list[Any] = []
     clients.connections, endpoints.connection_count = [None] * 3, 2
     clients.listening_socket.fileno.return_value = -1
-    memory.used.return_value = 123456
+    memory.reported_use.return_value = 123456
     local = LocalProcess(
         name="n0",
         clients=clients,
