Begin no late attempt for a client whose close may lie behind a full receive buffer

A client pipelined 6,000 requests and closed. The end of the stream lies behind bytes that the ingress leaves unread, so neither the event loop nor the state of the socket tells of it, and retries of the first request began 0.3 to 0.8 s after the close.

A retry, a hedge, or an attempt that has waited over 0.05 s is not begun then; the request is answered as failed, or refused if it never ran. The first attempt follows its request at once, and any answer to a client that has closed brings a reset.

--- a/ingress/server/client_connection.py
+++ b/ingress/server/client_connection.py
@@ -11,7 +11,7 @@
 from ingress.protocols.resp import LONG_VALUE_BYTES
 from ingress.runtime.clock import Clock
 from ingress.runtime.memory_budget import Holder, MemoryAccount, MemoryBudget
-from ingress.runtime.sockets import is_closed_by_peer, peek_byte, seconds_since_last_receive
+from ingress.runtime.sockets import has_receive_capacity, is_closed_by_peer, peek_byte, seconds_since_last_receive
 from ingress.server.builtin_commands import answer_builtin
 from ingress.server.close_reason import CloseReason
 from ingress.server.command_parser import CommandParser
@@ -649,6 +649,13 @@
         unread = peek_byte(self.socket)
         return unread is None or (bool(unread) and is_closed_by_peer(self.socket))
 
+    def may_be_disconnected(self) -> bool:
+        """Report whether the client may have closed without a sign of it, because the receive buffer is full.
+
+        The end of the stream arrives only behind all that the client has sent.
+        """
+        return self.transport is not None and bool(peek_byte(self.socket)) and not has_receive_capacity(self.socket)
+
     # Disconnecting
 
     def eof_received(self) -> None:
--- a/ingress/server/pending_request.py
+++ b/ingress/server/pending_request.py
@@ -57,6 +57,7 @@
         attempt_count: The number of attempts so far.
         is_answered: Whether the response is complete or the client no longer waits for it.
         rejection_reason: The reason for the gateway's own final answer; empty if it gave none.
+        admitted_at: The time at which the request was passed to the gateway.
         memory_available: Whether there was room for the request when it was received.
         memory_bytes: The memory that the request takes from the budget.
         attempts_in_flight: The attempts that have not ended.
@@ -67,6 +68,7 @@
     """
 
     __slots__ = (
+        "admitted_at",
         "attempt_count",
         "attempts_in_flight",
         "command",
@@ -91,6 +93,7 @@
         self.attempt_count = 0
         self.is_answered = False
         self.rejection_reason = ""
+        self.admitted_at = 0.0
         self.memory_available = True
         self.memory_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, command.arguments))
         self.attempts_in_flight: set[Attempt] = set()
--- a/ingress/server/request_handler.py
+++ b/ingress/server/request_handler.py
@@ -38,6 +38,7 @@
 
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
+UNNOTICED_CLOSE_S = 0.05  # in which an attempt may begin although its client has closed
 OTHER_PROCESS_DELAY_S = 0.01  # in which another process tells that it has sent the same request
 VALUE_SIZE_WEIGHT = 0.1  # of the latest value in the moving average of the sizes
 
@@ -114,6 +115,7 @@
         if request.is_answered:
             return
         command = request.command
+        request.admitted_at = self.clock()
         self.feed(
             RequestReceived(
                 request.request_id,
@@ -293,8 +295,14 @@
         connection = request.slot.connection
         if connection.is_disconnected():
             connection.disconnected()
+        elif self._is_overdue(attempt, request) and connection.may_be_disconnected():
+            return False
         return not request.is_answered
 
+    def _is_overdue(self, attempt: Attempt, request: PendingRequest) -> bool:
+        """Report whether the attempt begins so late that a client which has closed since its request must be known."""
+        return attempt.number > 0 or self.clock() - request.admitted_at > UNNOTICED_CLOSE_S
+
     def attempt_writable(self, attempt: Attempt) -> None:
         """Write the chunks of the request's body to an attempt that has become ready for them."""
         request = self.in_flight.get(attempt.request_id)
--- a/ingress/server/response_slot.py
+++ b/ingress/server/response_slot.py
@@ -50,6 +50,10 @@
         """Report whether the client can't be answered any more."""
         ...
 
+    def may_be_disconnected(self) -> bool:
+        """Report whether the client may have closed without a sign of it."""
+        ...
+
     def disconnected(self) -> None:
         """End all requests of a client that has disconnected."""
         ...
