Give each upload of a test its own id, and time attempts by when the kernel got them

It read the time of an attempt when its own event loop came to it; it now takes the time at which the kernel received it, which no load on the test delays.

--- a/tests/test_net_eviction.py
+++ b/tests/test_net_eviction.py
@@ -78,7 +78,7 @@
 
 
 async def send_half_a_body(sock: socket.socket) -> None:
-    upload = command(cls="order", body=bytes(LONG_VALUE_BYTES + 10_000))
+    upload = command(f"half-{sock.getsockname()}", cls="order", body=bytes(LONG_VALUE_BYTES + 10_000))
     await asyncio.get_running_loop().sock_sendall(sock, upload[:30_000])
 
 
--- a/tests/test_net_hidden_close.py
+++ b/tests/test_net_hidden_close.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from ingress.runtime.sockets import seconds_since_last_receive
 from tests.peer_load import LOAD_SETTINGS, send_sound_requests
 from tests.peers import Peer, Reader, Writer, command, endpoint_answer, endpoint_entry, read_command, run_async
 from tests.test_net_signals import check_no_traceback, launched
@@ -33,7 +34,9 @@
     async def _serve_commands(self, _: int, reader: Reader, writer: Writer) -> None:
         while True:
             name = (await read_command(reader))[2]
-            self.begun.append((time.monotonic(), name))
+            # When the kernel got it: this test may be held up by others before it reads it.
+            waited = seconds_since_last_receive(writer.get_extra_info("socket"))
+            self.begun.append((time.monotonic() - waited, name))
             if name != b"first":
                 writer.write(endpoint_answer(name))
             elif self.error is not None:
--- a/tests/test_net_memory.py
+++ b/tests/test_net_memory.py
@@ -38,7 +38,6 @@
 PIPELINED = 16  # requests of each peer; more of them would show how fast the machine is
 RAMP_S = 1.0  # in which the peers arrive
 HALF_COMMAND = resp(*[b"x" * 62_000] * 5)[:250_000]
-UPLOAD_PART = command("upload", "order", body=bytes(MAX_VALUE_BYTES))[: MAX_VALUE_BYTES // 2]
 
 Pressure = Callable[[socket.socket], Awaitable[None]]
 
@@ -79,7 +78,8 @@
 
 
 async def send_half_upload(sock: socket.socket) -> None:
-    await send(sock, UPLOAD_PART)
+    upload = command(f"upload-{sock.getsockname()}", "order", body=bytes(MAX_VALUE_BYTES))
+    await send(sock, upload[: MAX_VALUE_BYTES // 2])
 
 
 async def pipeline_and_stop_within_a_command(sock: socket.socket) -> None:
