Let one function tell a refused client when to come again

The refusal of a new customer beyond the limit wrote the formula of the other refusals a second time.

--- a/ingress/decisions/forwarding.py
+++ b/ingress/decisions/forwarding.py
@@ -24,7 +24,7 @@
 from ingress.decisions.process_state import ProcessState
 from ingress.decisions.retry import RetryBudget
 from ingress.decisions.sent_ids import SentIds
-from ingress.decisions.settings import Settings
+from ingress.decisions.settings import Plan, Settings
 
 MIN_ATTEMPT_TIMEOUT_S = 1e-6
 
@@ -124,9 +124,7 @@
         self.requests.pop(request.id, None)
         self._forget_unsent(request)
         if request.may_reject():
-            # This is the rate of all gateways together, because the client may retry through any of them.
-            retry_after = request.units / request.plan.rate if request.plan.rate else 0.0
-            self.actions.append(RejectRequest(request.id, retry_after, reason.value))
+            self.actions.append(RejectRequest(request.id, retry_after(request.units, request.plan), reason.value))
         else:
             self.actions.append(FailRequest(request.id, reason.value))
 
@@ -233,3 +231,11 @@
             self._send_again(now, request, max_saturation)
         if (timer := self.hedging.next_timer(now)) is not None:
             self.actions.append(timer)
+
+
+def retry_after(units: float, plan: Plan) -> float:
+    """Return the seconds in which the quota of a plan refills by `units`; 0 without a rate.
+
+    This is the rate of all gateways together, because the client may retry through any of them.
+    """
+    return units / plan.rate if plan.rate else 0.0
--- a/ingress/decisions/gateway.py
+++ b/ingress/decisions/gateway.py
@@ -30,7 +30,7 @@
     UploadStarted,
     UsageUnknown,
 )
-from ingress.decisions.forwarding import Forwarder
+from ingress.decisions.forwarding import Forwarder, retry_after
 from ingress.decisions.handover_state import CustomerState, HandoverState, QuotaUsage
 from ingress.decisions.process_state import ProcessState
 from ingress.decisions.quota import CustomerQuota
@@ -171,8 +171,8 @@
             self.actions.append(FailRequest(event.request_id, RejectionReason.REPEATED_ID.value))
             return
         if not self.quotas.has_room(now, event.customer):
-            retry_after = event.units / plan.rate if plan.rate else 0.0
-            self.actions.append(RejectRequest(event.request_id, retry_after, RejectionReason.MEMORY.value))
+            refill_time = retry_after(event.units, plan)
+            self.actions.append(RejectRequest(event.request_id, refill_time, RejectionReason.MEMORY.value))
             return
         customer = self.quotas.get(now, event.customer, plan, event.gateway_count)
         request = InFlightRequest.received(now, event, request_class, customer)
