--- a/tests/test_net_repeated_id.py
+++ b/tests/test_net_repeated_id.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.peer_load import LOAD_SETTINGS, entries, schedule_server
-from tests.peers import Peer, RespClient, command, run_async
+from tests.peers import Address, Peer, RespClient, command, run_async
 from tests.test_net_memory import wait_until_serving
 from tests.test_net_signals import check_no_traceback, launched
 
@@ -34,6 +34,16 @@
     client.writer.transport.abort()
 
 
+async def leave_and_come_again(request: bytes, first: RespClient, pause: float, resets: bool, address: Address) -> None:
+    """Send a request, leave after a pause, and send it again on a new connection to the address."""
+    first.writer.write(request)
+    await asyncio.sleep(pause)
+    leave(first, resets)
+    second = await RespClient.connect(address)
+    await second.request(request)
+    second.writer.close()
+
+
 def check_each_ran_once(peer: Peer) -> None:
     counts = Counter(words[2] for words in peer.commands)
     assert counts and not {name: count for name, count in counts.items() if count > 1}
@@ -48,14 +58,8 @@
             await program.ready()
             for number in range(REPEATS):
                 for pause in PAUSES_S:
-                    request = payment(f"pay-{number}-{pause}")
                     first = await RespClient.connect(program.address)
-                    first.writer.write(request)
-                    await asyncio.sleep(pause)
-                    leave(first, resets)
-                    second = await RespClient.connect(program.address)
-                    await second.request(request)
-                    second.writer.close()
+                    await leave_and_come_again(payment(f"pay-{number}-{pause}"), first, pause, resets, program.address)
             await asyncio.sleep(SETTLE_TIME_S)
             check_each_ran_once(peer)
             check_no_traceback(program)
@@ -76,13 +80,7 @@
                     for number in range(REPEATS):
                         for pause in PAUSES_S:
                             request = payment(f"pay-{number}-{pause}")
-                            first = clients.pop()
-                            first.writer.write(request)
-                            await asyncio.sleep(pause)
-                            leave(first, resets)
-                            second = await RespClient.connect(new.address)
-                            await second.request(request)
-                            second.writer.close()
+                            await leave_and_come_again(request, clients.pop(), pause, resets, new.address)
                     await asyncio.sleep(SETTLE_TIME_S)
                     check_each_ran_once(peer)
                     check_no_traceback(old)
